--- /dev/null
+++ b/src/app/config.cpp
@@ -0,0 +1,155 @@
+#include "app/config.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "wire.h"
+#include "wire/connection.h"
+#include "wire/discovery.h"
+
+namespace ploverquay::app {
+namespace {
+
+using Json = rapidjson::Value;
+
+const Json& need(const Json& object, const char* key) {
+  const auto it = object.FindMember(key);
+  if (it == object.MemberEnd()) throw ConfigError(std::string(key) + ": missing");
+  return it->value;
+}
+std::string need_text(const Json& object, const char* key) {
+  const auto& v = need(object, key);
+  if (!v.IsString()) throw ConfigError(std::string(key) + ": not a string");
+  return v.GetString();
+}
+
+/// A plain value as the simulator's wire spells it: no space or comma inside.
+std::string plain(const Json& v) {
+  if (v.IsNull()) return "";
+  if (v.IsString()) {
+    std::string text(v.GetString(), v.GetStringLength());
+    for (auto& c : text)
+      if (c == ' ' || c == ',') c = '_';
+    return text;
+  }
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  v.Accept(writer);
+  return buffer.GetString();
+}
+
+/// The settings as path=value pairs: the form that the adapter's parser reads.
+void flatten(const Json& v, const std::string& path, std::string& out) {
+  if (v.IsObject()) {
+    for (const auto& m : v.GetObject())
+      flatten(m.value, path.empty() ? m.name.GetString() : path + "." + m.name.GetString(), out);
+    return;
+  }
+  if (v.IsArray() && !v.Empty() && v[0].IsObject()) {
+    out += path + ".count=" + std::to_string(v.Size()) + " ";
+    for (rapidjson::SizeType i = 0; i < v.Size(); ++i) flatten(v[i], path + "." + std::to_string(i), out);
+    return;
+  }
+  std::string value;
+  if (v.IsArray()) {
+    for (const auto& item : v.GetArray()) value += (value.empty() ? "" : ",") + plain(item);
+  } else {
+    value = plain(v);
+  }
+  out += path + "=" + value + " ";
+}
+
+std::vector<memory::Budget> read_budgets(const Json& settings) {
+  std::vector<memory::Budget> budgets;
+  const auto realms = settings.FindMember("realms");
+  if (realms == settings.MemberEnd()) return budgets;
+  if (!realms->value.IsArray()) throw ConfigError("settings.realms: not a list");
+  for (const auto& r : realms->value.GetArray()) {
+    if (!r.IsObject()) throw ConfigError("settings.realms: not a list of objects");
+    const auto quota = r.FindMember("quota_per_s");
+    budgets.push_back({need_text(r, "name"),
+                       quota != r.MemberEnd() && quota->value.IsNumber() ? quota->value.GetDouble() : 0});
+  }
+  return budgets;
+}
+
+std::size_t limit(const Json& root, const char* key, std::size_t fallback) {
+  const auto limits = root.FindMember("limits");
+  if (limits == root.MemberEnd() || !limits->value.IsObject()) return fallback;
+  const auto it = limits->value.FindMember(key);
+  if (it == limits->value.MemberEnd()) return fallback;
+  if (!it->value.IsNumber() || it->value.GetDouble() < 64 || it->value.GetDouble() > 1e6)
+    throw ConfigError("limits." + std::string(key) + ": out of range");
+  return static_cast<std::size_t>(it->value.GetDouble());
+}
+
+void check_address(const std::string& key, const std::string& address) {
+  if (!wire::valid_address(address)) throw ConfigError(key + ": not an address: " + address);
+}
+
+std::string read_file(const char* path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  text << in.rdbuf();
+  if (!in) throw ConfigError(std::string("ROUTER_CONFIG: cannot read ") + path);
+  return text.str();
+}
+
+}  // namespace
+
+Config parse_config(const std::string& json) {
+  rapidjson::Document d;
+  d.Parse<rapidjson::kParseIterativeFlag>(json.c_str());
+  if (d.HasParseError() || !d.IsObject()) throw ConfigError("config: not a JSON object");
+  Config c;
+  c.name = need_text(d, "name");
+  c.listen = need_text(d, "listen");
+  c.discovery = need_text(d, "discovery");
+  c.memory_mb = limit(d, "memory_mb", c.memory_mb);
+  c.sockets = limit(d, "sockets", c.sockets);
+  const auto seed = d.FindMember("seed");
+  std::uint64_t number = 0;
+  if (seed != d.MemberEnd() && seed->value.IsUint64()) number = seed->value.GetUint64();
+  else if (seed != d.MemberEnd() && seed->value.IsString()) number = std::strtoull(seed->value.GetString(), nullptr, 16);
+  else throw ConfigError("seed: not a number");
+  if (const auto known = d.FindMember("known"); known != d.MemberEnd() && !known->value.IsNull()) {
+    const auto list = wire::parse_members(plain(known->value));
+    if (!list) throw ConfigError("known: not a list");
+    c.known = *list;
+  }
+  const auto& settings = need(d, "settings");
+  if (!settings.IsObject()) throw ConfigError("settings: not an object");
+  std::string facts;
+  flatten(settings, "", facts);
+  Time base{};
+  try {
+    c.settings = wire::parse_settings(facts, number, "", c.zones, base);
+    check(c.settings);
+  } catch (const std::exception& e) {
+    throw ConfigError("settings." + std::string(e.what()) + ": bad value");
+  }
+  c.budgets = read_budgets(settings);
+  return c;
+}
+
+Config load_config() {
+  const char* path = std::getenv("ROUTER_CONFIG");
+  if (!path) throw ConfigError("ROUTER_CONFIG: not set");
+  auto c = parse_config(read_file(path));
+  const auto variable = [](const char* name, std::string& value) {
+    if (const char* text = std::getenv(name); text && *text) value = text;
+  };
+  variable("ROUTER_NAME", c.name);
+  variable("ROUTER_LISTEN", c.listen);
+  variable("ROUTER_DISCOVERY", c.discovery);
+  check_address("listen", c.listen);
+  check_address("discovery", c.discovery);
+  return c;
+}
+
+}  // namespace ploverquay::app
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,19 @@
+// The real gateway: reads its configuration, serves, ends on SIGTERM.
+#include <csignal>
+#include <exception>
+#include <iostream>
+
+#include "app/gateway.h"
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    ev::default_loop loop;
+    ploverquay::app::Gateway gateway(loop, ploverquay::app::load_config());
+    gateway.run();
+    return 0;
+  } catch (const std::exception& e) {
+    std::cerr << "cedarring: " << e.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/memory/broker.cpp
@@ -0,0 +1,171 @@
+#include "memory/broker.h"
+
+#include <algorithm>
+
+namespace ploverquay::memory {
+
+Broker::Broker(Settings settings, std::vector<Budget> budgets, std::vector<std::string> zones, Clock clock,
+               Upstream& upstream, std::size_t max_requests)
+    : budgets_(std::move(budgets)),
+      clock_(std::move(clock)),
+      upstream_(upstream),
+      max_requests_(max_requests),
+      router_(settings),
+      hosts_(std::move(zones)) {
+  for (const auto& c : settings.classes) contracts_.push_back(c.name);
+}
+
+void Broker::start(const MemberList& known) {
+  feed(Started{});
+  feed(MembersListed{ListKind::cached, hosts_.take(known)});
+}
+
+Rejection Broker::accept(const Ask& ask, Front& front, RequestId& id) {
+  const auto contract = std::find(contracts_.begin(), contracts_.end(), ask.contract);
+  if (contract == contracts_.end()) return Rejection::unknown_contract;
+  const auto budget = std::find_if(
+      budgets_.begin(), budgets_.end(), [&](const Budget& b) { return b.tenant == ask.tenant; });
+  if (!budgets_.empty() && budget == budgets_.end()) return Rejection::unknown_tenant;
+  if (!hosts_.has_group(ask.group)) return Rejection::unknown_group;
+  if (requests_.size() >= max_requests_) return Rejection::overfull;
+  const Time now = clock_();
+  id = RequestId{next_request_++};
+  auto& r = requests_[id.value];
+  r.front = &front;
+  r.work = ask.work;
+  r.deadline = now + ask.time_left;
+  RequestArrived event;
+  event.request = id;
+  event.cls = ClassId{static_cast<std::int32_t>(contract - contracts_.begin())};
+  event.group = ask.group;
+  event.time_left = ask.time_left;
+  event.session = ask.session;
+  // A commit from a clock ahead of ours still is a write that the read has to see: never an age of zero.
+  if (ask.after) event.token_age = std::max(now - *ask.after, Duration(1));
+  feed(event);
+  return Rejection::none;
+}
+
+void Broker::client_left(RequestId id) {
+  const auto it = requests_.find(id.value);
+  if (it == requests_.end() || it->second.ended) return;
+  it->second.ended = true;
+  it->second.front = nullptr;
+  feed(ClientLeft{id});
+  // Nobody waits for it any more: what is still out is given up, and its connection with it.
+  const auto left = requests_.find(id.value);
+  if (left == requests_.end()) return;
+  const auto attempts = left->second.attempts;
+  for (std::uint32_t i = 0; i < attempts.size(); ++i)
+    if (attempts[i].out) {
+      upstream_.abandon({id, i});
+      attempt_ended({id, i}, {Outcome::cancelled, {}, {}, {}, {}});
+    }
+  settle(id);
+}
+
+void Broker::attempt_ended(AttemptKey key, AttemptResult result) {
+  const auto it = requests_.find(key.request.value);
+  if (it == requests_.end() || key.number >= it->second.attempts.size()) return;
+  auto& r = it->second;
+  auto& a = r.attempts[key.number];
+  if (!a.out) return;
+  a.out = false;
+  --r.out;
+  AttemptEnded event;
+  event.request = key.request;
+  event.attempt = key.number;
+  event.host = a.host;
+  event.outcome = result.outcome;
+  event.elapsed = clock_() - a.sent;
+  event.note = result.note;
+  event.report = result.report;
+  if (!result.message.empty()) r.message = std::move(result.message);
+  if (result.outcome == Outcome::ok) end(key.request, {End::served, {}, std::move(result.value), {}});
+  event.request_ended = r.ended;
+  feed(event);
+  settle(key.request);
+}
+
+void Broker::probe_ended(HostId host, Outcome outcome, Duration elapsed, const Report& report) {
+  feed(ProbeEnded{host, outcome, elapsed, report});
+}
+
+void Broker::listed(const MemberList& list) {
+  feed(MembersListed{list.full ? ListKind::full : ListKind::delta, hosts_.take(list)});
+  for (const auto host : hosts_.closed()) upstream_.closed(host);
+  hosts_.prune([this](HostId id) { return router_.knows(id); });
+}
+
+void Broker::list_failed() { feed(MembersListed{ListKind::failed, {}}); }
+
+void Broker::timer_fired() { feed(TimerFired{1}); }
+
+/// Events are taken one after another: what an action brings about at once waits for its turn.
+void Broker::feed(Event event) {
+  events_.emplace_back(clock_(), std::move(event));
+  if (feeding_) return;
+  feeding_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    const auto [now, next] = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    router_.handle(now, next, actions);
+    for (const auto& action : actions) act(action, now);
+  }
+  feeding_ = false;
+}
+
+void Broker::act(const Action& action, Time now) {
+  if (const auto* s = std::get_if<Send>(&action)) return send(*s, now);
+  if (const auto* c = std::get_if<Cancel>(&action)) {
+    const auto it = requests_.find(c->request.value);
+    if (it == requests_.end() || c->attempt >= it->second.attempts.size()) return;
+    if (!it->second.attempts[c->attempt].out) return;
+    upstream_.abandon({c->request, c->attempt});
+    attempt_ended({c->request, c->attempt}, {Outcome::cancelled, {}, {}, {}, {}});
+  } else if (const auto* r = std::get_if<Refuse>(&action)) {
+    end(r->request, {End::refused, r->pause, {}, {}});
+    settle(r->request);
+  } else if (const auto* f = std::get_if<Fail>(&action)) {
+    end(f->request, {End::failed, {}, {}, {}});
+    settle(f->request);
+  } else if (const auto* p = std::get_if<Probe>(&action)) {
+    upstream_.probe(p->host, hosts_.address(p->host));
+  } else if (const auto* t = std::get_if<SetTimer>(&action)) {
+    upstream_.wake_at(t->due);
+  } else if (std::holds_alternative<Watch>(action)) {
+    upstream_.watch();
+  }
+}
+
+void Broker::send(const Send& send, Time now) {
+  const auto it = requests_.find(send.request.value);
+  if (it == requests_.end()) return;
+  auto& r = it->second;
+  const auto number = static_cast<std::uint32_t>(r.attempts.size());
+  r.attempts.push_back({send.host, now, true});
+  ++r.out;
+  const AttemptKey key{send.request, number};
+  const Time stop_at = send.stop_at > Time::zero() ? std::min(send.stop_at, r.deadline) : r.deadline;
+  // A request that ended while this action waited is not sent at all: nobody would take its answer.
+  if (r.ended || clock_() >= stop_at) return attempt_ended(key, {Outcome::moot, {}, {}, {}, {}});
+  const auto work = r.work;
+  upstream_.start(key, send.host, hosts_.address(send.host), work, stop_at);
+}
+
+void Broker::end(RequestId id, FinalAnswer answer) {
+  const auto it = requests_.find(id.value);
+  if (it == requests_.end() || it->second.ended) return;
+  it->second.ended = true;
+  if (answer.end == End::failed) answer.message = std::move(it->second.message);
+  if (auto* front = std::exchange(it->second.front, nullptr)) front->finish(id, std::move(answer));
+}
+
+void Broker::settle(RequestId id) {
+  const auto it = requests_.find(id.value);
+  if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
+}
+
+}  // namespace ploverquay::memory
--- /dev/null
+++ b/src/memory/broker.h
@@ -0,0 +1,139 @@
+// The broker: requests, attempts, contracts and budgets. It drives the Router and knows no wire: a Front takes
+// final answers, an Upstream carries attempts out. Decides nothing itself.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "memory/host_table.h"
+#include "ploverquay/router.h"
+
+namespace ploverquay::memory {
+
+/// What a front wants done: opaque here, understood by the upstream of the same protocol.
+struct Work {
+  virtual ~Work() = default;
+};
+
+/// A request in the terms of its contract.
+struct Ask {
+  std::string contract;  // the class's name
+  std::string tenant;
+  GroupId group;
+  Duration time_left{};
+  std::optional<SessionId> session;
+  std::optional<Time> after;  // the position that the read has to see
+  std::shared_ptr<const Work> work;
+};
+
+enum class End { served, refused, failed };
+struct FinalAnswer {
+  End end = End::failed;
+  Duration pause{};     // of a refusal: when to come back
+  std::string value;    // of what was served: as the upstream gave it
+  std::string message;  // of a failure: what the host said, if anything
+};
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  /// The one final answer of a request.
+  virtual void finish(RequestId request, FinalAnswer answer) = 0;
+};
+
+struct AttemptKey {
+  RequestId request;
+  std::uint32_t number = 0;
+};
+
+/// How an attempt ended, as told by the upstream.
+struct AttemptResult {
+  Outcome outcome = Outcome::ok;
+  Note note;
+  Report report;
+  std::string value;
+  std::string message;
+};
+
+/// Carries attempts, probes and the watch out. Results may come before the call returns.
+class Upstream {
+ public:
+  virtual ~Upstream() = default;
+  virtual void start(AttemptKey key, HostId host, const std::string& address,
+                     const std::shared_ptr<const Work>& work, Time stop_at) = 0;
+  virtual void abandon(AttemptKey key) = 0;
+  virtual void probe(HostId host, const std::string& address) = 0;
+  virtual void watch() = 0;
+  virtual void wake_at(Time due) = 0;
+  /// Hosts that are no longer listed as ready: idle connections to them are of no more use.
+  virtual void closed(HostId host) = 0;
+};
+
+/// A tenant's share of the service, in requests a second over all gateways.
+struct Budget {
+  std::string tenant;
+  double per_second = 0;
+};
+
+enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, overfull };
+
+class Broker {
+ public:
+  using Clock = std::function<Time()>;
+  Broker(Settings settings, std::vector<Budget> budgets, std::vector<std::string> zones, Clock clock,
+         Upstream& upstream, std::size_t max_requests = 20000);
+
+  void start(const MemberList& known);
+  /// Takes a request, or says why not; `id` is set before the front can be called.
+  Rejection accept(const Ask& ask, Front& front, RequestId& id);
+  void client_left(RequestId id);
+  void attempt_ended(AttemptKey key, AttemptResult result);
+  void probe_ended(HostId host, Outcome outcome, Duration elapsed, const Report& report);
+  void listed(const MemberList& list);
+  void list_failed();
+  void timer_fired();
+
+  [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+  [[nodiscard]] const HostTable& hosts() const { return hosts_; }
+
+ private:
+  struct Attempt {
+    HostId host;
+    Time sent{};
+    bool out = true;
+  };
+  struct Request {
+    Front* front = nullptr;
+    std::shared_ptr<const Work> work;
+    Time deadline{};
+    std::vector<Attempt> attempts;
+    std::string message;  // what the last host said, for a failure
+    int out = 0;
+    bool ended = false;
+  };
+
+  void feed(Event event);
+  void act(const Action& action, Time now);
+  void send(const Send& send, Time now);
+  void end(RequestId id, FinalAnswer answer);
+  void settle(RequestId id);
+
+  std::vector<std::string> contracts_;
+  std::vector<Budget> budgets_;
+  Clock clock_;
+  Upstream& upstream_;
+  std::size_t max_requests_;
+  Router router_;
+  HostTable hosts_;
+  std::unordered_map<std::uint64_t, Request> requests_;
+  std::uint64_t next_request_ = 1;
+  std::deque<std::pair<Time, Event>> events_;
+  bool feeding_ = false;  // guards against feeding the router while it is being fed
+};
+
+}  // namespace ploverquay::memory
--- /dev/null
+++ b/src/memory/pool.h
@@ -0,0 +1,72 @@
+// Which idle connections there are to each host. It owns none of them and resends nothing.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include "ploverquay/router.h"
+
+namespace ploverquay::memory {
+
+template <class Connection>
+class Pool {
+ public:
+  void put(HostId host, Connection* connection, Time now) { idle_[host].push_back({connection, now}); }
+  /// The one used last: the others may fall idle for good and be retired.
+  Connection* take(HostId host) {
+    const auto it = idle_.find(host);
+    if (it == idle_.end() || it->second.empty()) return nullptr;
+    auto* connection = it->second.back().connection;
+    it->second.pop_back();
+    return connection;
+  }
+  void remove(HostId host, Connection* connection) {
+    const auto it = idle_.find(host);
+    if (it == idle_.end()) return;
+    auto& v = it->second;
+    v.erase(std::remove_if(v.begin(), v.end(), [&](const Idle& i) { return i.connection == connection; }),
+            v.end());
+    if (v.empty()) idle_.erase(it);
+  }
+  /// Those idle since before `before`, taken out.
+  std::vector<Connection*> retire(Time before) {
+    std::vector<Connection*> old;
+    for (auto& [host, v] : idle_) {
+      const auto fresh = std::find_if(v.begin(), v.end(), [&](const Idle& i) { return i.since >= before; });
+      for (auto it = v.begin(); it != fresh; ++it) old.push_back(it->connection);
+      v.erase(v.begin(), fresh);
+    }
+    return old;
+  }
+  /// All idle ones of a host, taken out.
+  std::vector<Connection*> drop(HostId host) {
+    std::vector<Connection*> all;
+    if (const auto it = idle_.find(host); it != idle_.end()) {
+      for (const auto& i : it->second) all.push_back(i.connection);
+      idle_.erase(it);
+    }
+    return all;
+  }
+  /// The idle connection that has waited longest, of any host, taken out; null if there is none.
+  Connection* oldest() {
+    auto best = idle_.end();
+    for (auto it = idle_.begin(); it != idle_.end(); ++it)
+      if (!it->second.empty() &&
+          (best == idle_.end() || it->second.front().since < best->second.front().since))
+        best = it;
+    if (best == idle_.end()) return nullptr;
+    auto* connection = best->second.front().connection;
+    best->second.erase(best->second.begin());
+    return connection;
+  }
+
+ private:
+  struct Idle {
+    Connection* connection;
+    Time since;
+  };
+  std::map<HostId, std::vector<Idle>> idle_;  // by how long they have been idle, longest first
+};
+
+}  // namespace ploverquay::memory
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -215,29 +215,6 @@
   return SessionId{h};
 }
 
-Report parse_report(std::optional<std::string_view> stats, Time base) {
-  Report report;
-  if (!stats) return report;
-  for (const auto part : split_commas(*stats)) {
-    const auto colon = part.find(':');
-    if (colon == std::string_view::npos) continue;
-    const auto value = to_number(part.substr(colon + 1));
-    if (!value) continue;
-    const auto name = part.substr(0, colon);
-    if (name == "x0" && std::fabs(*value) < largest_ms / 1e3) {
-      // Rounded down: a position must never be believed above what the host holds.
-      report.position = base + Time(static_cast<std::int64_t>(std::floor(*value * 1e6)));
-    } else if (name == "x1") {
-      report.role = *value >= 0.5 ? Role::primary : Role::replica;
-    } else if (name == "pending" && *value >= 0) {
-      report.queue = *value;
-    } else if (name == "cpu_share" && *value >= 0) {
-      report.util = std::min(1.0, *value);
-    }
-  }
-  return report;
-}
-
 Note parse_note(std::optional<std::uint64_t> mark, Time base) {
   Note note;
   if (!mark) return note;
@@ -261,6 +238,29 @@
 
 }  // namespace
 
+Report parse_report(std::optional<std::string_view> stats, Time base, char separator) {
+  Report report;
+  if (!stats) return report;
+  for (const auto part : split_commas(*stats)) {
+    const auto mark = part.find(separator);
+    if (mark == std::string_view::npos) continue;
+    const auto value = to_number(part.substr(mark + 1));
+    if (!value) continue;
+    const auto name = part.substr(0, mark);
+    if (name == "x0" && std::fabs(*value) < largest_ms / 1e3) {
+      // Rounded down: a position must never be believed above what the host holds.
+      report.position = base + Time(static_cast<std::int64_t>(std::floor(*value * 1e6)));
+    } else if (name == "x1") {
+      report.role = *value >= 0.5 ? Role::primary : Role::replica;
+    } else if (name == "pending" && *value >= 0) {
+      report.queue = *value;
+    } else if (name == "cpu_share" && *value >= 0) {
+      report.util = std::min(1.0, *value);
+    }
+  }
+  return report;
+}
+
 Settings parse_settings(std::string_view text, std::uint64_t seed, std::string_view zone,
                         std::vector<std::string>& zones, Time& base_time) {
   const Facts facts(text);
--- a/src/wire.h
+++ b/src/wire.h
@@ -5,6 +5,7 @@
 #include <iosfwd>
 #include <map>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -25,6 +26,9 @@
 Settings parse_settings(std::string_view facts, std::uint64_t seed, std::string_view zone,
                         std::vector<std::string>& zones, Time& base_time);
 
+/// A load report from name-separator-value pairs set apart by commas; what cannot be read is passed over.
+Report parse_report(std::optional<std::string_view> stats, Time base, char separator = ':');
+
 class Adapter {
  public:
   Adapter();
--- /dev/null
+++ b/src/wire/connection.cpp
@@ -0,0 +1,183 @@
+#include "wire/connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+#include "wire/statement.h"
+
+namespace ploverquay::wire {
+namespace {
+
+constexpr std::size_t read_size = 16384;
+constexpr std::size_t memory_bound = std::size_t{96} << 20U;  // of all ring buffers: half of the machine's
+
+bool parse_address(const std::string& address, sockaddr_in& out) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return false;
+  const auto port = to_int(std::string_view(address).substr(colon + 1));
+  if (!port || *port > 65535) return false;
+  out = {};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(static_cast<std::uint16_t>(*port));
+  return inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr) == 1;
+}
+
+void no_delay(int fd) {
+  const int one = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+}  // namespace
+
+Fd& Fd::operator=(Fd&& o) noexcept {
+  if (this != &o) {
+    reset();
+    fd_ = o.fd_;
+    o.fd_ = -1;
+  }
+  return *this;
+}
+
+void Fd::reset() {
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+}
+
+bool valid_address(const std::string& address) {
+  sockaddr_in unused;
+  return parse_address(address, unused);
+}
+
+Fd connect_to(const std::string& address) {
+  sockaddr_in to;
+  if (!parse_address(address, to)) {
+    errno = EINVAL;
+    return Fd();
+  }
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (fd.get() < 0) return fd;
+  no_delay(fd.get());
+  if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
+    const int error = errno;
+    fd.reset();
+    errno = error;
+  }
+  return fd;
+}
+
+Fd listen_on(const std::string& address) {
+  sockaddr_in at;
+  if (!parse_address(address, at)) {
+    errno = EINVAL;
+    return Fd();
+  }
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (fd.get() < 0) return fd;
+  const int one = 1;
+  setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(fd.get(), 511) != 0) {
+    const int error = errno;
+    fd.reset();
+    errno = error;
+  }
+  return fd;
+}
+
+Fd accept_from(int listener) {
+  Fd fd(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (fd.get() >= 0) no_delay(fd.get());
+  return fd;
+}
+
+Connection::Connection(ev::loop_ref loop, Fd fd, bool connecting, std::size_t in_most, std::size_t out_most)
+    : loop_(loop), in_(in_most), out_(out_most), fd_(std::move(fd)), io_(loop), connecting_(connecting) {
+  io_.set<Connection, &Connection::ready>(this);
+  io_.set(fd_.get(), connecting_ ? ev::WRITE : ev::READ);
+  io_.start();
+}
+
+void Connection::close() {
+  io_.stop();
+  fd_.reset();
+}
+
+void Connection::broken(int error) {
+  close();
+  on_end(error);
+}
+
+bool Connection::write(std::string_view bytes) {
+  if (closed() || !out_.append(bytes)) return false;
+  if (!connecting_) flush();
+  interest();
+  return true;
+}
+
+/// A failed write is told by the loop, never from inside write(): its caller may be anywhere.
+void Connection::flush() {
+  while (!out_.empty() && write_error_ == 0) {
+    iovec parts[2];
+    msghdr message{};
+    message.msg_iov = parts;
+    message.msg_iovlen = static_cast<std::size_t>(out_.filled(parts));
+    const auto n = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+    if (n >= 0) out_.consume(static_cast<std::size_t>(n));
+    else if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+    else if (errno != EINTR) write_error_ = errno;
+  }
+}
+
+void Connection::interest() {
+  if (closed()) return;
+  int events = 0;
+  if (connecting_ || !out_.empty()) events |= ev::WRITE;
+  if (!connecting_ && in_.reserve(1)) events |= ev::READ;
+  io_.set(events);
+}
+
+void Connection::read_some() {
+  const auto total = RingBuffer::total();
+  if (!in_.reserve(read_size)) in_.reserve(1);
+  iovec parts[2];
+  const int n = in_.free_space(parts);
+  if (n == 0) return;
+  if (total > memory_bound) return broken(ENOMEM);
+  const auto got = ::readv(fd_.get(), parts, n);
+  if (got > 0) {
+    in_.grow(static_cast<std::size_t>(got));
+    on_input();
+  } else if (got == 0) {
+    broken(0);
+  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    broken(errno);
+  }
+}
+
+void Connection::ready(ev::io&, int events) {
+  if (connecting_) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return broken(error);
+    connecting_ = false;
+    on_open();
+    if (closed()) return;
+  }
+  if ((events & ev::WRITE) != 0 && !out_.empty()) {
+    flush();
+    if (write_error_ == 0 && out_.empty()) on_sent();
+    if (closed()) return;
+  }
+  // What the peer still said before it broke the connection is read first.
+  if ((events & ev::READ) != 0) read_some();
+  if (closed()) return;
+  if (write_error_ != 0) return broken(write_error_);
+  interest();
+}
+
+}  // namespace ploverquay::wire
--- /dev/null
+++ b/src/wire/connection.h
@@ -0,0 +1,89 @@
+// A non-blocking TCP connection with a ring buffer a direction. Its owner learns of all by callbacks.
+#pragma once
+
+#include <ev++.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/ring_buffer.h"
+
+namespace ploverquay::wire {
+
+/// A descriptor that closes itself.
+class Fd {
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  ~Fd() { reset(); }
+  Fd(Fd&& o) noexcept : fd_(o.fd_) { o.fd_ = -1; }
+  Fd& operator=(Fd&& o) noexcept;
+  [[nodiscard]] int get() const { return fd_; }
+  void reset();
+
+ private:
+  int fd_;
+};
+
+/// An IPv4 "address:port" as text; false if it is not one.
+bool valid_address(const std::string& address);
+/// Starts a connection; on failure the descriptor is -1 and errno tells why.
+Fd connect_to(const std::string& address);
+/// Listens there and nowhere else.
+Fd listen_on(const std::string& address);
+/// The next connection waiting, -1 with errno if there is none.
+Fd accept_from(int listener);
+
+class Connection {
+ public:
+  Connection(ev::loop_ref loop, Fd fd, bool connecting, std::size_t in_most, std::size_t out_most);
+  virtual ~Connection() = default;
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  [[nodiscard]] bool closed() const { return fd_.get() < 0; }
+
+ protected:
+  virtual void on_open() {}            // the connection has come up
+  virtual void on_input() = 0;         // in_ has grown
+  virtual void on_end(int error) = 0;  // the peer ended it (0) or it broke; it is closed already
+  virtual void on_sent() {}            // out_ has run empty
+
+  /// False if it does not fit under the bound.
+  bool write(std::string_view bytes);
+  void close();
+  /// After this on_input comes again only once the buffer has room: for owners that stop taking input.
+  void input_taken() { interest(); }
+  [[nodiscard]] bool connecting() const { return connecting_; }
+
+  ev::loop_ref loop_;
+  RingBuffer in_, out_;
+
+ private:
+  void ready(ev::io& watcher, int events);
+  void read_some();
+  void flush();
+  void interest();
+  void broken(int error);
+  Fd fd_;
+  ev::io io_;
+  bool connecting_;
+  int write_error_ = 0;
+};
+
+/// Keeps connections that have closed until no callback of theirs can be running.
+class Reaper {
+ public:
+  explicit Reaper(ev::loop_ref loop) : prepare_(loop) {
+    prepare_.set<Reaper, &Reaper::reap>(this);
+    prepare_.start();
+  }
+  void take(std::unique_ptr<Connection> connection) { dead_.push_back(std::move(connection)); }
+
+ private:
+  void reap(ev::prepare&, int) { dead_.clear(); }
+  ev::prepare prepare_;
+  std::vector<std::unique_ptr<Connection>> dead_;
+};
+
+}  // namespace ploverquay::wire
--- /dev/null
+++ b/src/wire/discovery.cpp
@@ -0,0 +1,161 @@
+#include "wire/discovery.h"
+
+#include <rapidjson/document.h>
+
+#include <cerrno>
+
+namespace ploverquay::wire {
+namespace {
+
+constexpr std::size_t line_most = std::size_t{1} << 20U;
+constexpr double silence_most = 4.5;  // seconds: more than two heartbeats of 2 s
+
+std::string text_of(const rapidjson::Value& v, const char* name) {
+  const auto it = v.FindMember(name);
+  return it != v.MemberEnd() && it->value.IsString()
+             ? std::string(it->value.GetString(), it->value.GetStringLength())
+             : std::string();
+}
+double number_of(const rapidjson::Value& v, const char* name, double fallback) {
+  const auto it = v.FindMember(name);
+  return it != v.MemberEnd() && it->value.IsNumber() ? it->value.GetDouble() : fallback;
+}
+
+bool parse_member(const rapidjson::Value& v, memory::Member& m) {
+  if (!v.IsObject()) return false;
+  m.id = text_of(v, "id");
+  m.address = text_of(v, "addr");
+  m.zone = text_of(v, "zone");
+  const auto cell = v.FindMember("cell");
+  m.group = GroupId{cell != v.MemberEnd() && cell->value.IsInt64() ? cell->value.GetInt64() : 0};
+  const auto state = text_of(v, "state");
+  if (state == "SERVING") m.state = HostState::ready;
+  else if (state == "DRAINING") m.state = HostState::draining;
+  else if (state == "DELETED") m.state = HostState::gone;
+  else return false;
+  m.weight = number_of(v, "weight", 1);
+  m.primary = text_of(v, "recovery") == "off";
+  const double started = number_of(v, "started_ms", 0);
+  if (started > 0 && started < 1e13) m.born = Time(static_cast<std::int64_t>(started * 1000));
+  return !m.id.empty() && (m.state == HostState::gone || valid_address(m.address));
+}
+
+}  // namespace
+
+std::optional<memory::MemberList> parse_members(std::string_view json) {
+  rapidjson::Document d;
+  d.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (d.HasParseError() || !d.IsObject()) return std::nullopt;
+  const auto servers = d.FindMember("servers");
+  if (servers == d.MemberEnd() || !servers->value.IsArray()) return std::nullopt;
+  memory::MemberList list;
+  const auto version = d.FindMember("version");
+  if (version != d.MemberEnd() && version->value.IsUint64()) list.version = version->value.GetUint64();
+  const auto full = d.FindMember("full");
+  list.full = full != d.MemberEnd() && full->value.IsBool() && full->value.GetBool();
+  for (const auto& v : servers->value.GetArray())
+    if (memory::Member m; parse_member(v, m)) list.members.push_back(std::move(m));
+  return list;
+}
+
+class DiscoveryWatch::Stream : public Connection {
+ public:
+  Stream(ev::loop_ref loop, Fd fd, std::string request, DiscoveryWatch& owner)
+      : Connection(loop, std::move(fd), true, 65536, 4096), request_(std::move(request)), owner_(owner) {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+  }
+  void stop() {
+    if (!closed()) close();
+  }
+
+ private:
+  void on_open() override { write(request_); }
+  void on_input() override {
+    static const http_parser_settings settings = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_headers_complete = [](http_parser* p) { return p->status_code == 200 ? 0 : -1; };
+      s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        return static_cast<Stream*>(p->data)->body({at, n}) ? 0 : -1;
+      };
+      s.on_message_complete = [](http_parser* p) {
+        static_cast<Stream*>(p->data)->whole_ = true;
+        return 0;
+      };
+      return s;
+    }();
+    owner_.silence_.again();
+    const auto in = in_.view();
+    const auto used = http_parser_execute(&parser_, &settings, in.data(), in.size());
+    const bool bad = used != in.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK;
+    if (closed()) return;
+    in_.consume(in.size());
+    if (bad || whole_) owner_.ended();
+  }
+  void on_end(int) override { owner_.ended(); }
+  bool body(std::string_view bytes) {
+    for (;;) {
+      const auto end = bytes.find('\n');
+      line_ += bytes.substr(0, end);
+      if (line_.size() > line_most) return false;
+      if (end == std::string_view::npos) return true;
+      bytes.remove_prefix(end + 1);
+      std::string line;
+      line.swap(line_);
+      if (line.find_first_not_of(" \r") == std::string::npos) continue;  // a heartbeat
+      const auto list = parse_members(line);
+      if (!list) return false;
+      owner_.listed(*list);
+      if (closed()) return false;
+    }
+  }
+
+  std::string request_;
+  DiscoveryWatch& owner_;
+  http_parser parser_{};
+  std::string line_;
+  bool whole_ = false;
+};
+
+DiscoveryWatch::DiscoveryWatch(ev::loop_ref loop, Reaper& reaper, std::string address, std::uint64_t version,
+                               Events events)
+    : loop_(loop),
+      reaper_(reaper),
+      address_(std::move(address)),
+      version_(version),
+      events_(std::move(events)),
+      silence_(loop) {
+  silence_.set<DiscoveryWatch, &DiscoveryWatch::silent>(this);
+  silence_.set(0, silence_most);
+}
+
+DiscoveryWatch::~DiscoveryWatch() = default;
+
+void DiscoveryWatch::start() {
+  if (stream_) stream_->stop(), reaper_.take(std::move(stream_));
+  Fd fd = connect_to(address_);
+  if (fd.get() < 0) return events_.failed();
+  std::string request = "GET /catalog/members?follow=1&since=" + std::to_string(version_) +
+                        " HTTP/1.1\r\nHost: " + address_ + "\r\nAccept: application/json\r\n\r\n";
+  stream_ = std::make_unique<Stream>(loop_, std::move(fd), std::move(request), *this);
+  silence_.again();
+}
+
+void DiscoveryWatch::listed(const memory::MemberList& list) {
+  version_ = list.version;
+  events_.listed(list);
+}
+
+void DiscoveryWatch::ended() {
+  silence_.stop();
+  if (!stream_) return;
+  stream_->stop();
+  reaper_.take(std::move(stream_));
+  events_.failed();
+}
+
+/// A machine that was cut off says nothing: its watch would look calm for ever.
+void DiscoveryWatch::silent(ev::timer&, int) { ended(); }
+
+}  // namespace ploverquay::wire
--- /dev/null
+++ b/src/wire/discovery.h
@@ -0,0 +1,44 @@
+// The watch on discovery's list: HTTP/1.1, one JSON object a line.
+#pragma once
+
+#include <http_parser.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "memory/host_table.h"
+#include "wire/connection.h"
+
+namespace ploverquay::wire {
+
+/// One list in discovery's form; nothing if it is not one. A single entry that cannot be read is left out.
+std::optional<memory::MemberList> parse_members(std::string_view json);
+
+class DiscoveryWatch {
+ public:
+  struct Events {
+    std::function<void(const memory::MemberList&)> listed;
+    std::function<void()> failed;
+  };
+  DiscoveryWatch(ev::loop_ref loop, Reaper& reaper, std::string address, std::uint64_t version, Events events);
+  ~DiscoveryWatch();
+  /// Starts a watch anew; one event follows in any case.
+  void start();
+
+ private:
+  class Stream;
+  void listed(const memory::MemberList& list);
+  void ended();
+  void silent(ev::timer&, int);
+  ev::loop_ref loop_;
+  Reaper& reaper_;
+  std::string address_;
+  std::uint64_t version_;
+  Events events_;
+  std::unique_ptr<Stream> stream_;
+  ev::timer silence_;
+};
+
+}  // namespace ploverquay::wire
--- /dev/null
+++ b/src/wire/pg.cpp
@@ -0,0 +1,135 @@
+#include "wire/pg.h"
+
+namespace ploverquay::wire::pg {
+namespace {
+
+constexpr std::size_t startup_most = 10000;  // as PostgreSQL has it
+
+std::uint32_t read_u32(std::string_view in) {
+  std::uint32_t v = 0;
+  for (int i = 0; i < 4; ++i) v = v << 8U | static_cast<unsigned char>(in[i]);
+  return v;
+}
+
+void put_u32(std::string& out, std::uint32_t v) {
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(v >> static_cast<unsigned>(shift) & 0xffU);
+}
+
+void put_text(std::string& out, std::string_view text) {
+  out += text;
+  out += '\0';
+}
+
+void put_message(std::string& out, char type, std::string_view body) {
+  if (type != 0) out += type;
+  put_u32(out, static_cast<std::uint32_t>(body.size() + 4));
+  out += body;
+}
+
+}  // namespace
+
+Frame next_message(std::string_view in, std::size_t most, Message& out) {
+  if (in.size() < 5) return Frame::partial;
+  const auto length = read_u32(in.substr(1));
+  if (length < 4 || length > most) return Frame::bad;
+  if (in.size() < length + 1U) return Frame::partial;
+  out = {in[0], in.substr(5, length - 4), length + 1U};
+  return Frame::whole;
+}
+
+Frame next_startup(std::string_view in, Startup& out) {
+  if (in.size() < 4) return Frame::partial;
+  const auto length = read_u32(in);
+  if (length < 8 || length > startup_most) return Frame::bad;
+  if (in.size() < length) return Frame::partial;
+  const auto code = read_u32(in.substr(4));
+  out.size = length;
+  if (code == 80877103) out.kind = StartupKind::ssl;
+  else if (code == 80877104) out.kind = StartupKind::gss;
+  else if (code == 80877102) out.kind = StartupKind::cancel;
+  else out.kind = code >> 16U == 3 ? StartupKind::startup : StartupKind::unknown;
+  return Frame::whole;
+}
+
+std::optional<std::string_view> take_text(std::string_view& body) {
+  const auto end = body.find('\0');
+  if (end == std::string_view::npos) return std::nullopt;
+  const auto text = body.substr(0, end);
+  body.remove_prefix(end + 1);
+  return text;
+}
+
+std::string_view error_field(std::string_view body, char field) {
+  while (!body.empty() && body[0] != '\0') {
+    const char type = body[0];
+    body.remove_prefix(1);
+    const auto text = take_text(body);
+    if (!text) return {};
+    if (type == field) return *text;
+  }
+  return {};
+}
+
+std::optional<std::string_view> only_column(std::string_view body) {
+  if (body.size() < 6 || body[0] != 0 || body[1] != 1) return std::nullopt;
+  const auto length = read_u32(body.substr(2));
+  if (length != body.size() - 6) return std::nullopt;  // null is 0xffffffff: never equal
+  return body.substr(6);
+}
+
+void put_startup(std::string& out, std::string_view user, std::string_view database) {
+  std::string body;
+  put_u32(body, 3U << 16U);
+  put_text(body, "user");
+  put_text(body, user);
+  put_text(body, "database");
+  put_text(body, database);
+  body += '\0';
+  put_message(out, 0, body);
+}
+
+void put_query(std::string& out, std::string_view sql) {
+  std::string body;
+  put_text(body, sql);
+  put_message(out, 'Q', body);
+}
+
+void put_welcome(std::string& out) {
+  put_message(out, 'R', std::string_view("\0\0\0\0", 4));
+  for (const auto& [name, value] : {std::pair<std::string_view, std::string_view>{"server_version", "15.0"},
+                                    {"client_encoding", "UTF8"},
+                                    {"standard_conforming_strings", "on"}}) {
+    std::string body;
+    put_text(body, name);
+    put_text(body, value);
+    put_message(out, 'S', body);
+  }
+  put_ready(out);
+}
+
+void put_ready(std::string& out) { put_message(out, 'Z', "I"); }
+void put_empty(std::string& out) { put_message(out, 'I', {}); }
+
+void put_complete(std::string& out, std::string_view tag) {
+  std::string body;
+  put_text(body, tag);
+  put_message(out, 'C', body);
+}
+
+void put_error(std::string& out, bool fatal, std::string_view code, std::string_view message,
+               std::string_view detail) {
+  std::string body;
+  const auto field = [&](char type, std::string_view text) {
+    body += type;
+    put_text(body, text);
+  };
+  field('S', fatal ? "FATAL" : "ERROR");
+  field('V', fatal ? "FATAL" : "ERROR");
+  field('C', code);
+  field('M', message);
+  if (!detail.empty()) field('D', detail);
+  body += '\0';
+  put_message(out, 'E', body);
+}
+
+}  // namespace ploverquay::wire::pg
--- /dev/null
+++ b/src/wire/pg.h
@@ -0,0 +1,46 @@
+// PostgreSQL protocol 3: framing, the messages written, the messages read. Pure functions over bytes.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ploverquay::wire::pg {
+
+enum class Frame { whole, partial, bad };
+enum class StartupKind { startup, ssl, gss, cancel, unknown };
+
+struct Message {
+  char type = 0;
+  std::string_view body;
+  std::size_t size = 0;  // of all of it
+};
+struct Startup {
+  StartupKind kind = StartupKind::unknown;
+  std::size_t size = 0;
+};
+
+/// The first message of `in`; bad if its length is impossible or over `most`.
+Frame next_message(std::string_view in, std::size_t most, Message& out);
+/// What a client writes first: a message without a type.
+Frame next_startup(std::string_view in, Startup& out);
+
+/// A text that ends with a zero byte, taken off the front of `body`.
+std::optional<std::string_view> take_text(std::string_view& body);
+/// One field ('C' code, 'M' message, 'S' severity) of an ErrorResponse's body.
+std::string_view error_field(std::string_view body, char field);
+/// The only column of a DataRow; nothing if it is null or there is not exactly one.
+std::optional<std::string_view> only_column(std::string_view body);
+
+void put_startup(std::string& out, std::string_view user, std::string_view database);
+void put_query(std::string& out, std::string_view sql);
+/// What welcomes a client.
+void put_welcome(std::string& out);
+void put_ready(std::string& out);
+void put_empty(std::string& out);
+void put_complete(std::string& out, std::string_view tag);
+void put_error(std::string& out, bool fatal, std::string_view code, std::string_view message,
+               std::string_view detail = {});
+
+}  // namespace ploverquay::wire::pg
