--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -8,7 +8,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "wire.h"
+#include "sim/adapter.h"
 #include "wire/connection.h"
 #include "wire/discovery.h"
 
@@ -128,7 +128,7 @@
   flatten(settings, "", facts);
   Time base{};
   try {
-    c.settings = wire::parse_settings(facts, number, "", c.zones, base);
+    c.settings = sim::parse_settings(facts, number, "", c.zones, base);
     check(c.settings);
   } catch (const std::exception& e) {
     throw ConfigError("settings." + std::string(e.what()) + ": bad value");
--- a/src/wire.cpp
+++ b/src/sim/adapter.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "sim/adapter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,7 +8,7 @@
 #include <optional>
 #include <ostream>
 
-namespace ploverquay::wire {
+namespace ploverquay::sim {
 namespace {
 
 constexpr double largest_ms = 1e13;  // keeps microseconds inside 63 bits
@@ -644,4 +644,4 @@
   return 0;
 }
 
-}  // namespace ploverquay::wire
+}  // namespace ploverquay::sim
--- a/src/wirehost.cpp
+++ b/src/sim/main.cpp
@@ -1,10 +1,10 @@
 // Runs the adapter on standard input and output.
 #include <iostream>
 
-#include "wire.h"
+#include "sim/adapter.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  return ploverquay::wire::run(std::cin, std::cout, std::cerr);
+  return ploverquay::sim::run(std::cin, std::cout, std::cerr);
 }
--- a/src/wire/pg_host.cpp
+++ b/src/wire/pg_host.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 
-#include "wire.h"
+#include "sim/adapter.h"
 #include "wire/pg.h"
 
 namespace ploverquay::wire {
@@ -149,7 +149,7 @@
     result.value = std::move(rows_);
     rows_.clear();
   }
-  if (!job_->attempt) result.report = parse_report(health_, Time::zero(), '=');
+  if (!job_->attempt) result.report = sim::parse_report(health_, Time::zero(), '=');
   finish(std::move(result), true);
 }
 
--- a/tests/wire_test.cpp
+++ b/tests/adapter_test.cpp
@@ -1,12 +1,12 @@
 // The adapter by hand-made batches.
-#include "wire.h"
+#include "sim/adapter.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 #include <sstream>
 
-namespace ploverquay::wire {
+namespace ploverquay::sim {
 namespace {
 
 const std::string facts =
@@ -174,4 +174,4 @@
 }
 
 }  // namespace
-}  // namespace ploverquay::wire
+}  // namespace ploverquay::sim
