--- a/include/ploverquay/router.h
+++ b/include/cedarring/router.h
@@ -1,4 +1,4 @@
-// The interface of ploverquay: settings, events in, actions out. No decisions live here.
+// The interface of cedarring: settings, events in, actions out. No decisions live here.
 #pragma once
 
 #include <chrono>
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace ploverquay {
+namespace cedarring {
 
 using Duration = std::chrono::microseconds;
 /// Time on the caller's monotonic clock, counted from any fixed instant.
@@ -205,4 +205,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace ploverquay
+}  // namespace cedarring
--- a/src/app/clock.h
+++ b/src/app/clock.h
@@ -3,9 +3,9 @@
 
 #include <chrono>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay::app {
+namespace cedarring::app {
 
 class UnixClock {
  public:
@@ -20,4 +20,4 @@
   Time offset_;
 };
 
-}  // namespace ploverquay::app
+}  // namespace cedarring::app
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -12,7 +12,7 @@
 #include "wire/connection.h"
 #include "wire/discovery.h"
 
-namespace ploverquay::app {
+namespace cedarring::app {
 namespace {
 
 using Json = rapidjson::Value;
@@ -152,4 +152,4 @@
   return c;
 }
 
-}  // namespace ploverquay::app
+}  // namespace cedarring::app
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -7,7 +7,7 @@
 
 #include "memory/broker.h"
 
-namespace ploverquay::app {
+namespace cedarring::app {
 
 /// A configuration that cannot be used; the text names the key.
 class ConfigError : public std::runtime_error {
@@ -29,4 +29,4 @@
 /// Reads the file of ROUTER_CONFIG; the other variables win over what it holds.
 Config load_config();
 
-}  // namespace ploverquay::app
+}  // namespace cedarring::app
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace ploverquay::app {
+namespace cedarring::app {
 namespace {
 
 constexpr double serve_after_term = 0.5;  // seconds: the front goes on sending for 0.2 to 0.4 s
@@ -59,4 +59,4 @@
   if (front_.empty()) loop_.break_loop(ev::ALL);
 }
 
-}  // namespace ploverquay::app
+}  // namespace cedarring::app
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -10,7 +10,7 @@
 #include "wire/pg_client.h"
 #include "wire/pg_host.h"
 
-namespace ploverquay::app {
+namespace cedarring::app {
 
 class Gateway {
  public:
@@ -35,4 +35,4 @@
   ev::check check_;
 };
 
-}  // namespace ploverquay::app
+}  // namespace cedarring::app
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,4 +1,4 @@
-// The decision module: every choice the router makes. Its interface is include/ploverquay/router.h.
+// The decision module: every choice the router makes. Its interface is include/cedarring/router.h.
 // It reads as a router works: membership, positions, primary, health, selection, admission, attempts, timers.
 #include <algorithm>
 #include <numeric>
@@ -6,10 +6,10 @@
 #include <tuple>
 #include <utility>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 #include "state.h"
 
-namespace ploverquay {
+namespace cedarring {
 using namespace state;  // NOLINT(google-build-using-namespace): the module's own records
 
 namespace {
@@ -946,4 +946,4 @@
 bool Router::knows(HostId host) const { return impl_->knows(host); }
 std::size_t Router::held() const { return impl_->held(); }
 
-}  // namespace ploverquay
+}  // namespace cedarring
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,7 +9,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     ev::default_loop loop;
-    ploverquay::app::Gateway gateway(loop, ploverquay::app::load_config());
+    cedarring::app::Gateway gateway(loop, cedarring::app::load_config());
     gateway.run();
     return 0;
   } catch (const std::exception& e) {
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace ploverquay::memory {
+namespace cedarring::memory {
 
 Broker::Broker(Settings settings, std::vector<Budget> budgets, std::vector<std::string> zones, Clock clock,
                Upstream& upstream, std::size_t max_requests)
@@ -168,4 +168,4 @@
   if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
 }
 
-}  // namespace ploverquay::memory
+}  // namespace cedarring::memory
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "memory/host_table.h"
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay::memory {
+namespace cedarring::memory {
 
 /// What a front wants done: opaque here, understood by the upstream of the same protocol.
 struct Work {
@@ -136,4 +136,4 @@
   bool feeding_ = false;  // guards against feeding the router while it is being fed
 };
 
-}  // namespace ploverquay::memory
+}  // namespace cedarring::memory
--- a/src/memory/host_table.cpp
+++ b/src/memory/host_table.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-namespace ploverquay::memory {
+namespace cedarring::memory {
 
 ZoneId HostTable::zone(const std::string& name) {
   const auto it = std::find(zones_.begin(), zones_.end(), name);
@@ -62,4 +62,4 @@
   }
 }
 
-}  // namespace ploverquay::memory
+}  // namespace cedarring::memory
--- a/src/memory/host_table.h
+++ b/src/memory/host_table.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay::memory {
+namespace cedarring::memory {
 
 /// One entry of a list, in its own words.
 struct Member {
@@ -54,4 +54,4 @@
   std::uint32_t next_ = 1;
 };
 
-}  // namespace ploverquay::memory
+}  // namespace cedarring::memory
--- a/src/memory/pool.h
+++ b/src/memory/pool.h
@@ -5,9 +5,9 @@
 #include <map>
 #include <vector>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay::memory {
+namespace cedarring::memory {
 
 template <class Connection>
 class Pool {
@@ -69,4 +69,4 @@
   std::map<HostId, std::vector<Idle>> idle_;  // by how long they have been idle, longest first
 };
 
-}  // namespace ploverquay::memory
+}  // namespace cedarring::memory
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,9 +1,9 @@
 // Tells settings that contradict themselves. Decides nothing.
 #include <stdexcept>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay {
+namespace cedarring {
 
 void check(const Settings& s) {
   const auto demand = [](bool ok, const char* key) {
@@ -26,4 +26,4 @@
   }
 }
 
-}  // namespace ploverquay
+}  // namespace cedarring
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <ostream>
 
-namespace ploverquay::sim {
+namespace cedarring::sim {
 namespace {
 
 constexpr double largest_ms = 1e13;  // keeps microseconds inside 63 bits
@@ -644,4 +644,4 @@
   return 0;
 }
 
-}  // namespace ploverquay::sim
+}  // namespace cedarring::sim
--- a/src/sim/adapter.h
+++ b/src/sim/adapter.h
@@ -12,9 +12,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay::sim {
+namespace cedarring::sim {
 
 /// A line that cannot be read as what it claims to be.
 class ParseError : public std::runtime_error {
@@ -54,4 +54,4 @@
 /// Runs the wire until the end of input: 0, or 2 after one plain line on `err` for a line that is malformed.
 int run(std::istream& in, std::ostream& out, std::ostream& err);
 
-}  // namespace ploverquay::sim
+}  // namespace cedarring::sim
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -6,5 +6,5 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  return ploverquay::sim::run(std::cin, std::cout, std::cerr);
+  return cedarring::sim::run(std::cin, std::cout, std::cerr);
 }
--- a/src/state.h
+++ b/src/state.h
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
-namespace ploverquay::state {
+namespace cedarring::state {
 
 inline constexpr Time never{-40'000'000'000'000'000};  // far enough for any clock, near enough to subtract
 inline constexpr Time forever{40'000'000'000'000'000};
@@ -174,4 +174,4 @@
   }
 };
 
-}  // namespace ploverquay::state
+}  // namespace cedarring::state
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -10,7 +10,7 @@
 
 #include "wire/statement.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 namespace {
 
 constexpr std::size_t read_size = 16384;
@@ -180,4 +180,4 @@
   interest();
 }
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -10,7 +10,7 @@
 
 #include "wire/ring_buffer.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 /// A descriptor that closes itself.
 class Fd {
@@ -86,4 +86,4 @@
   std::vector<std::unique_ptr<Connection>> dead_;
 };
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/discovery.cpp
+++ b/src/wire/discovery.cpp
@@ -4,7 +4,7 @@
 
 #include <cerrno>
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 namespace {
 
 constexpr std::size_t line_most = std::size_t{1} << 20U;
@@ -158,4 +158,4 @@
 /// A machine that was cut off says nothing: its watch would look calm for ever.
 void DiscoveryWatch::silent(ev::timer&, int) { ended(); }
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/discovery.h
+++ b/src/wire/discovery.h
@@ -11,7 +11,7 @@
 #include "memory/host_table.h"
 #include "wire/connection.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 /// One list in discovery's form; nothing if it is not one. A single entry that cannot be read is left out.
 std::optional<memory::MemberList> parse_members(std::string_view json);
@@ -41,4 +41,4 @@
   ev::timer silence_;
 };
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/listener.h
+++ b/src/wire/listener.h
@@ -9,7 +9,7 @@
 
 #include "wire/connection.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 template <class Front, class Client>
 class ClientSet {
@@ -69,4 +69,4 @@
   std::unordered_map<Client*, std::unique_ptr<Client>> clients_;
 };
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/pg.cpp
+++ b/src/wire/pg.cpp
@@ -1,6 +1,6 @@
 #include "wire/pg.h"
 
-namespace ploverquay::wire::pg {
+namespace cedarring::wire::pg {
 namespace {
 
 constexpr std::size_t startup_most = 10000;  // as PostgreSQL has it
@@ -132,4 +132,4 @@
   put_message(out, 'E', body);
 }
 
-}  // namespace ploverquay::wire::pg
+}  // namespace cedarring::wire::pg
--- a/src/wire/pg.h
+++ b/src/wire/pg.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace ploverquay::wire::pg {
+namespace cedarring::wire::pg {
 
 enum class Frame { whole, partial, bad };
 enum class StartupKind { startup, ssl, gss, cancel, unknown };
@@ -43,4 +43,4 @@
 void put_error(std::string& out, bool fatal, std::string_view code, std::string_view message,
                std::string_view detail = {});
 
-}  // namespace ploverquay::wire::pg
+}  // namespace cedarring::wire::pg
--- a/src/wire/pg_client.cpp
+++ b/src/wire/pg_client.cpp
@@ -6,7 +6,7 @@
 #include "wire/pg.h"
 #include "wire/pg_work.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 namespace {
 
 /// The first word of a statement, in capitals.
@@ -175,4 +175,4 @@
   take();
 }
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/pg_client.h
+++ b/src/wire/pg_client.h
@@ -9,7 +9,7 @@
 #include "wire/connection.h"
 #include "wire/listener.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 class PgFront;
 
@@ -50,4 +50,4 @@
   memory::Broker& broker_;
 };
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/pg_host.cpp
+++ b/src/wire/pg_host.cpp
@@ -6,7 +6,7 @@
 #include "sim/adapter.h"
 #include "wire/pg.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 namespace {
 
 using memory::AttemptResult;
@@ -281,4 +281,4 @@
   for (auto* idle : pool_.retire(clock_() - options_.idle_close / 2)) idle->give_up(), gone(idle);
 }
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/pg_host.h
+++ b/src/wire/pg_host.h
@@ -10,7 +10,7 @@
 #include "wire/connection.h"
 #include "wire/pg_work.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 class PgUpstream;
 
@@ -98,4 +98,4 @@
   Time wake_at_{};
 };
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/pg_work.h
+++ b/src/wire/pg_work.h
@@ -6,7 +6,7 @@
 #include "memory/broker.h"
 #include "wire/statement.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 inline constexpr std::size_t pg_message_most = 200 * 1024;  // a value of 64 KiB, spelt in hex, and its statement
 
@@ -22,4 +22,4 @@
   return SessionId{h};
 }
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/ring_buffer.h
+++ b/src/wire/ring_buffer.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string_view>
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 class RingBuffer {
  public:
@@ -100,4 +100,4 @@
   std::size_t most_, capacity_ = 0, head_ = 0, size_ = 0;
 };
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/statement.cpp
+++ b/src/wire/statement.cpp
@@ -1,6 +1,6 @@
 #include "wire/statement.h"
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 std::optional<std::int64_t> to_int(std::string_view text) {
   if (text.empty() || text.size() > 18) return std::nullopt;
@@ -74,4 +74,4 @@
   return out;
 }
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/src/wire/statement.h
+++ b/src/wire/statement.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace ploverquay::wire {
+namespace cedarring::wire {
 
 struct StatementInfo {
   std::string_view id, contract, tenant, key;
@@ -33,4 +33,4 @@
 /// The statement with `ms` in place of the client's deadline.
 std::string with_deadline(std::string_view sql, const StatementInfo& info, std::int64_t ms);
 
-}  // namespace ploverquay::wire
+}  // namespace cedarring::wire
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -6,7 +6,7 @@
 #include <random>
 #include <sstream>
 
-namespace ploverquay::sim {
+namespace cedarring::sim {
 namespace {
 
 const std::string facts =
@@ -174,4 +174,4 @@
 }
 
 }  // namespace
-}  // namespace ploverquay::sim
+}  // namespace cedarring::sim
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -1,20 +1,20 @@
 // A program that uses the installed package.
-#include <ploverquay/router.h>
+#include <cedarring/router.h>
 
 int main() {
   using namespace std::chrono_literals;
-  ploverquay::Settings settings;
-  ploverquay::RequestClass c;
+  cedarring::Settings settings;
+  cedarring::RequestClass c;
   c.aim = 1s;
   c.deadline = 2s;
   settings.classes = {c};
-  ploverquay::Router router(settings);
-  std::vector<ploverquay::Action> actions;
-  router.handle(0ms, ploverquay::Started{}, actions);
-  ploverquay::RequestArrived request;
+  cedarring::Router router(settings);
+  std::vector<cedarring::Action> actions;
+  router.handle(0ms, cedarring::Started{}, actions);
+  cedarring::RequestArrived request;
   request.request = {1};
   request.cls = {0};
   request.group = {7};  // unknown: refused at once
   router.handle(1ms, request, actions);
-  return actions.size() == 1 && std::holds_alternative<ploverquay::Refuse>(actions[0]) ? 0 : 1;
+  return actions.size() == 1 && std::holds_alternative<cedarring::Refuse>(actions[0]) ? 0 : 1;
 }
--- a/tests/embed_example.cpp
+++ b/tests/embed_example.cpp
@@ -1,31 +1,31 @@
 // The README's example, compiled and run: a router inside another program's loop.
 #include <gtest/gtest.h>
 
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
 namespace {
 
 using namespace std::chrono_literals;
 
 TEST(Embed, ReadmeExample) {
-  ploverquay::Settings settings;
+  cedarring::Settings settings;
   settings.seed = 42;
-  ploverquay::RequestClass report;
+  cedarring::RequestClass report;
   report.name = "report";
   report.aim = 500ms;
   report.deadline = 2s;
-  report.freshness = ploverquay::Freshness::any;
+  report.freshness = cedarring::Freshness::any;
   settings.classes = {report};
-  ploverquay::Router router(settings);
+  cedarring::Router router(settings);
 
-  std::vector<ploverquay::Action> actions;
-  router.handle(0ms, ploverquay::Started{}, actions);
-  ploverquay::HostEntry replica;
+  std::vector<cedarring::Action> actions;
+  router.handle(0ms, cedarring::Started{}, actions);
+  cedarring::HostEntry replica;
   replica.host = {1};
   replica.group = {7};
-  router.handle(0ms, ploverquay::MembersListed{ploverquay::ListKind::full, {replica}}, actions);
+  router.handle(0ms, cedarring::MembersListed{cedarring::ListKind::full, {replica}}, actions);
   actions.clear();
-  ploverquay::RequestArrived request;
+  cedarring::RequestArrived request;
   request.request = {1};
   request.cls = {0};
   request.group = {7};
@@ -33,7 +33,7 @@
   router.handle(1ms, request, actions);
 
   ASSERT_EQ(actions.size(), 2U);  // the send and a timer
-  const auto* send = std::get_if<ploverquay::Send>(&actions[0]);
+  const auto* send = std::get_if<cedarring::Send>(&actions[0]);
   ASSERT_NE(send, nullptr);
   EXPECT_EQ(send->host, replica.host);
 }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1,5 +1,5 @@
 // The module by hand-made events. Host 1 is the primary of group 1 unless a test says otherwise.
-#include "ploverquay/router.h"
+#include "cedarring/router.h"
 
 #include <gtest/gtest.h>
 
@@ -10,7 +10,7 @@
 #include <set>
 #include <stdexcept>
 
-namespace ploverquay {
+namespace cedarring {
 namespace {
 
 using namespace std::chrono_literals;
@@ -1168,4 +1168,4 @@
 }
 
 }  // namespace
-}  // namespace ploverquay
+}  // namespace cedarring
