--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -8,8 +8,8 @@
 constexpr double serve_after_term = 0.5;  // seconds: the front goes on sending for 0.2 to 0.4 s
 constexpr std::size_t spare_descriptors = 48;  // listener, discovery, the loop's own, a burst of accepts
 
-wire::PgUpstream::Options upstream_options(const Config& c) {
-  wire::PgUpstream::Options o;
+wire::SocketUpstream::Options upstream_options(const Config& c) {
+  wire::SocketUpstream::Options o;
   o.connect_timeout = c.settings.connect_timeout;
   o.idle_close = c.settings.idle_close;
   o.most = (c.sockets - spare_descriptors) * 2 / 5;
@@ -22,12 +22,18 @@
     : loop_(loop),
       reaper_(loop),
       upstream_(loop, reaper_, [this] { return clock_.now(); }, upstream_options(c),
+                [loop](wire::Fd fd, HostId host, wire::SocketUpstream& owner) {
+                  return std::make_unique<wire::PgHost>(loop, std::move(fd), host, owner);
+                },
                 [this] { discovery_.start(); }),
       broker_(c.settings, c.budgets, c.zones, [this] { return clock_.now(); }, upstream_),
       discovery_(loop, reaper_, c.discovery, c.known.version,
                  {[this](const memory::MemberList& list) { broker_.listed(list); },
                   [this] { broker_.list_failed(); }}),
-      front_(loop, reaper_, broker_, c.listen, (c.sockets - spare_descriptors) * 3 / 5),
+      front_(loop, reaper_, broker_, c.listen, (c.sockets - spare_descriptors) * 3 / 5,
+             [loop](wire::Fd fd, wire::ClientSet& owner) {
+               return std::make_unique<wire::PgClient>(loop, std::move(fd), owner);
+             }),
       term_(loop),
       int_(loop),
       drain_(loop),
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -26,10 +26,10 @@
   ev::loop_ref loop_;
   UnixClock clock_;
   wire::Reaper reaper_;
-  wire::PgUpstream upstream_;
+  wire::SocketUpstream upstream_;
   memory::Broker broker_;
   wire::DiscoveryWatch discovery_;
-  wire::PgFront front_;
+  wire::ClientSet front_;
   ev::sig term_, int_;
   ev::timer drain_;
   ev::check check_;
--- a/src/wire/pg.cpp
+++ b/src/wire/pg.cpp
@@ -77,6 +77,12 @@
   return body.substr(6);
 }
 
+Outcome outcome_of(std::string_view code) {
+  if (code == "25006" || code == "72000") return Outcome::miss;
+  if (code == "53300" || code == "57P03") return Outcome::full;
+  return Outcome::error;
+}
+
 void put_startup(std::string& out, std::string_view user, std::string_view database) {
   std::string body;
   put_u32(body, 3U << 16U);
--- a/src/wire/pg.h
+++ b/src/wire/pg.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "cedarring/router.h"
+
 namespace cedarring::wire::pg {
 
 enum class Frame { whole, partial, bad };
@@ -33,6 +35,9 @@
 /// The only column of a DataRow; nothing if it is null or there is not exactly one.
 std::optional<std::string_view> only_column(std::string_view body);
 
+/// PROTOCOL's table, for what a host says in an ErrorResponse.
+Outcome outcome_of(std::string_view code);
+
 void put_startup(std::string& out, std::string_view user, std::string_view database);
 void put_query(std::string& out, std::string_view sql);
 /// What welcomes a client.
--- a/src/wire/pg_client.h
+++ b/src/wire/pg_client.h
@@ -1,53 +1,27 @@
 // The platform's front: PostgreSQL clients, simple queries.
 #pragma once
 
-#include <memory>
 #include <string>
-#include <unordered_map>
 
-#include "memory/broker.h"
-#include "wire/connection.h"
-#include "wire/listener.h"
+#include "wire/client.h"
+#include "wire/pg_work.h"
 
 namespace cedarring::wire {
 
-class PgFront;
-
-class PgClient : public Connection, public memory::Front {
+class PgClient : public Client {
  public:
-  PgClient(ev::loop_ref loop, Fd fd, PgFront& owner);
-  void finish(RequestId request, memory::FinalAnswer answer) override;
-  /// Closes now if idle, else once idle.
-  void drain();
-  /// Turns the client away: there are too many.
-  void turn_away();
+  PgClient(ev::loop_ref loop, Fd fd, ClientSet& owner) : Client(loop, std::move(fd), owner, pg_message_most) {}
+  void turn_away() override;
 
  private:
-  void on_input() override { take(); }
-  void on_end(int error) override;
-  void on_sent() override;
-  void take();
+  bool take_one() override { return welcomed_ ? take_message() : take_startup(); }
+  void put_answer(memory::FinalAnswer answer, std::string& out) override;
   bool take_startup();
   bool take_message();
   void query(std::string_view sql);
-  void reply(std::string_view bytes);
-  void fatal(std::string_view code, std::string_view message);
-  void leave();
-
-  PgFront& owner_;
-  RequestId request_{};  // the one in work, if busy
-  bool busy_ = false, welcomed_ = false, closing_ = false, draining_ = false, taking_ = false;
-};
-
-class PgFront : public ClientSet<PgFront, PgClient> {
- public:
-  PgFront(ev::loop_ref loop, Reaper& reaper, memory::Broker& broker, const std::string& address,
-          std::size_t most)
-      : ClientSet(loop, reaper, address, most), broker_(broker) {}
-  memory::Broker& broker() { return broker_; }
-
- private:
-  memory::Broker& broker_;
+  void refuse(std::string_view code, const std::string& why);
+  bool fatal(std::string_view code, std::string_view message);
+  bool welcomed_ = false;
 };
 
 }  // namespace cedarring::wire
--- a/src/wire/pg_work.h
+++ b/src/wire/pg_work.h
@@ -15,11 +15,4 @@
   StatementInfo info;  // views into sql
 };
 
-/// FNV-1a, as for the simulator's wire; a clash only makes a read stricter.
-inline SessionId session_of(std::string_view key) {
-  std::uint64_t h = 14695981039346656037ULL;
-  for (const char c : key) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-  return SessionId{h};
-}
-
 }  // namespace cedarring::wire
--- a/src/wire/statement.cpp
+++ b/src/wire/statement.cpp
@@ -74,4 +74,18 @@
   return out;
 }
 
+SessionId session_of(std::string_view key) {
+  std::uint64_t h = 14695981039346656037ULL;
+  for (const char c : key) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  return SessionId{h};
+}
+
+void set_note(std::string_view name, std::string_view value, Note& note) {
+  if (name == "recovery") note.role = value == "off" ? Role::primary : Role::replica;
+  if (name != "lsn_ms") return;
+  // Past this a position would not fit the module's clock.
+  if (const auto at = to_int(value); at && *at > 0 && *at < 10'000'000'000'000)
+    note.position = std::chrono::milliseconds(*at);
+}
+
 }  // namespace cedarring::wire
--- a/src/wire/statement.h
+++ b/src/wire/statement.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "cedarring/router.h"
+
 namespace cedarring::wire {
 
 struct StatementInfo {
@@ -33,4 +35,10 @@
 /// The statement with `ms` in place of the client's deadline.
 std::string with_deadline(std::string_view sql, const StatementInfo& info, std::int64_t ms);
 
+/// The session that a quoted key names: FNV-1a, as on the simulator's wire; a clash only makes a read stricter.
+SessionId session_of(std::string_view key);
+
+/// What a host tells of itself beside an answer: `recovery` and `lsn_ms`, in either protocol.
+void set_note(std::string_view name, std::string_view value, Note& note);
+
 }  // namespace cedarring::wire
--- /dev/null
+++ b/src/wire/upstream.cpp
@@ -0,0 +1,207 @@
+#include "wire/upstream.h"
+
+#include <algorithm>
+#include <cerrno>
+
+namespace cedarring::wire {
+namespace {
+
+using memory::AttemptResult;
+
+double seconds(Duration d) { return std::max(0.0, static_cast<double>(d.count()) / 1e6); }
+
+/// PROTOCOL's table, for what happens to a connection; what hosts say is told by each protocol's codec.
+/// Refused, never up, or broken before the last byte of the request was written: it never ran.
+Outcome lost(bool submitted, bool timed_out) {
+  if (!submitted) return Outcome::connect_failed;
+  return timed_out ? Outcome::timeout : Outcome::reset;
+}
+
+}  // namespace
+
+HostConnection::HostConnection(ev::loop_ref loop, Fd fd, HostId host, SocketUpstream& owner,
+                               std::size_t message_most)
+    : Connection(loop, std::move(fd), true, message_most + 16, 2 * message_most),
+      owner_(owner),
+      host_(host),
+      timer_(loop) {
+  timer_.set<HostConnection, &HostConnection::expired>(this);
+}
+
+void HostConnection::run(Job job) {
+  job_ = std::move(job);
+  submitted_ = false;
+  reset();
+  if (welcomed_) submit();
+  arm();
+}
+
+void HostConnection::arm() {
+  if (!job_) return;
+  auto due = job_->stop_at;
+  if (!welcomed_) due = std::min(due, job_->started + owner_.options().connect_timeout);
+  timer_.start(seconds(due - owner_.now()));
+}
+
+void HostConnection::welcome() {
+  welcomed_ = true;
+  reset();
+  if (!job_) return;
+  submit();
+  arm();
+}
+
+bool HostConnection::write_request(std::string_view bytes) {
+  submitted_ = true;
+  return write(bytes);
+}
+
+std::int64_t HostConnection::ms_left() const {
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(job_->stop_at - owner_.now()).count();
+  return std::max<std::int64_t>(left, 1);
+}
+
+void HostConnection::finish(AttemptResult result, bool keep) {
+  timer_.stop();
+  const auto job = std::exchange(job_, std::nullopt);
+  if (!keep && !closed()) close();
+  owner_.done(this, *job, std::move(result), keep);
+}
+
+void HostConnection::expired(ev::timer&, int) {
+  if (!job_) return;
+  AttemptResult result;
+  result.outcome = lost(submitted_ && out_.empty(), true);
+  finish(std::move(result), false);
+}
+
+void HostConnection::give_up() {
+  timer_.stop();
+  job_.reset();
+  if (!closed()) close();
+}
+
+void HostConnection::broken() {
+  if (!closed()) close();
+  on_end(EPROTO);
+}
+
+void HostConnection::on_end(int) {
+  if (!job_) return owner_.gone(this);
+  auto result = said();
+  if (!result) {
+    result.emplace();
+    result->outcome = lost(submitted_ && out_.empty(), false);
+  }
+  finish(std::move(*result), false);
+}
+
+SocketUpstream::SocketUpstream(ev::loop_ref loop, Reaper& reaper, Clock clock, Options options, Make make,
+                               std::function<void()> watch)
+    : loop_(loop),
+      reaper_(reaper),
+      clock_(std::move(clock)),
+      options_(options),
+      make_(std::move(make)),
+      watch_(std::move(watch)),
+      wake_(loop),
+      sweep_(loop) {
+  wake_.set<SocketUpstream, &SocketUpstream::wake>(this);
+  sweep_.set<SocketUpstream, &SocketUpstream::sweep>(this);
+  sweep_.start(1, 1);
+}
+
+void SocketUpstream::start(memory::AttemptKey key, HostId host, const std::string& address,
+                           const std::shared_ptr<const memory::Work>& work, Time stop_at) {
+  run(host, address, {key, work, clock_(), stop_at});
+}
+
+void SocketUpstream::probe(HostId host, const std::string& address) {
+  const auto now = clock_();
+  run(host, address, {std::nullopt, nullptr, now, now + options_.connect_timeout});
+}
+
+void SocketUpstream::run(HostId host, const std::string& address, Job job) {
+  auto* connection = pool_.take(host);
+  if (!connection) {
+    // At the bound the connection that was idle longest, anywhere, makes room.
+    if (connections_.size() >= options_.most)
+      if (auto* idle = pool_.oldest()) drop(idle);
+    AttemptResult failed;
+    failed.outcome = Outcome::moot;
+    if (connections_.size() >= options_.most) return tell(job, host, std::move(failed));
+    Fd fd = connect_to(address);
+    if (fd.get() < 0) {
+      // Out of descriptors is no fault of the host's, and must not count as one.
+      if (errno != EMFILE && errno != ENFILE) failed.outcome = Outcome::connect_failed;
+      return tell(job, host, std::move(failed));
+    }
+    auto fresh = make_(std::move(fd), host, *this);
+    connection = fresh.get();
+    connections_.emplace(connection, std::move(fresh));
+  }
+  if (job.attempt) attempts_[{job.attempt->request.value, job.attempt->number}] = connection;
+  connection->run(std::move(job));
+}
+
+/// Giving an attempt up closes its connection: an answer that is still due must not meet another request.
+void SocketUpstream::abandon(memory::AttemptKey key) {
+  const auto it = attempts_.find({key.request.value, key.number});
+  if (it == attempts_.end()) return;
+  auto* connection = it->second;
+  attempts_.erase(it);
+  drop(connection);
+}
+
+void SocketUpstream::done(HostConnection* connection, const Job& job, AttemptResult result, bool keep) {
+  const auto host = connection->host();
+  if (job.attempt) attempts_.erase({job.attempt->request.value, job.attempt->number});
+  if (keep) pool_.put(host, connection, clock_());
+  else gone(connection);
+  tell(job, host, std::move(result));
+}
+
+void SocketUpstream::tell(const Job& job, HostId host, AttemptResult result) {
+  if (job.attempt) broker_->attempt_ended(*job.attempt, std::move(result));
+  else broker_->probe_ended(host, result.outcome, clock_() - job.started, result.report);
+}
+
+void SocketUpstream::drop(HostConnection* connection) {
+  connection->give_up();
+  gone(connection);
+}
+
+void SocketUpstream::gone(HostConnection* connection) {
+  pool_.remove(connection->host(), connection);
+  const auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  reaper_.take(std::move(it->second));
+  connections_.erase(it);
+}
+
+void SocketUpstream::closed(HostId host) {
+  for (auto* idle : pool_.drop(host)) drop(idle);
+}
+
+void SocketUpstream::wake_at(Time due) {
+  wake_at_ = due;
+  arm_wake();
+}
+
+void SocketUpstream::arm_wake() {
+  wake_.stop();
+  wake_.start(seconds(wake_at_ - clock_()));
+}
+
+void SocketUpstream::wake(ev::timer&, int) {
+  // The router passes over a beat that comes early: the loop's clock and ours may differ by a little.
+  if (clock_() < wake_at_) return arm_wake();
+  broker_->timer_fired();
+}
+
+/// Idle connections go well before the host closes them: a request written then would be lost.
+void SocketUpstream::sweep(ev::timer&, int) {
+  for (auto* idle : pool_.retire(clock_() - options_.idle_close / 2)) drop(idle);
+}
+
+}  // namespace cedarring::wire
--- /dev/null
+++ b/src/wire/upstream.h
@@ -0,0 +1,113 @@
+// Host connections of any protocol: attempts and probes, one at a time on each, and the pool of idle ones.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "memory/broker.h"
+#include "memory/pool.h"
+#include "wire/connection.h"
+
+namespace cedarring::wire {
+
+class SocketUpstream;
+
+/// What a host connection is doing: an attempt, or a probe.
+struct Job {
+  std::optional<memory::AttemptKey> attempt;  // absent: a probe
+  std::shared_ptr<const memory::Work> work;
+  Time started{}, stop_at{};
+};
+
+/// One connection to a host. It carries a job from the connect to the whole answer and never resends.
+class HostConnection : public Connection {
+ public:
+  HostConnection(ev::loop_ref loop, Fd fd, HostId host, SocketUpstream& owner, std::size_t message_most);
+  void run(Job job);
+  /// Closes without a word to the owner.
+  void give_up();
+  [[nodiscard]] HostId host() const { return host_; }
+
+ protected:
+  /// Forgets the last job's answer.
+  virtual void reset() = 0;
+  /// Works on the job: the connection is up and welcomed.
+  virtual void submit() = 0;
+  /// What the host had said when the connection ended; nothing if it had not.
+  virtual std::optional<memory::AttemptResult> said() { return std::nullopt; }
+
+  void on_end(int error) final;
+  /// The host has welcomed us.
+  void welcome();
+  /// The request itself is being written: from its last byte on it may run.
+  bool write_request(std::string_view bytes);
+  void finish(memory::AttemptResult result, bool keep);
+  /// Ends a connection that has broken the protocol.
+  void broken();
+  [[nodiscard]] std::int64_t ms_left() const;
+
+  std::optional<Job> job_;
+  bool welcomed_ = false, submitted_ = false;
+
+ private:
+  void expired(ev::timer&, int);
+  void arm();
+  SocketUpstream& owner_;
+  HostId host_;
+  ev::timer timer_;
+};
+
+class SocketUpstream : public memory::Upstream {
+ public:
+  struct Options {
+    Duration connect_timeout{250'000};
+    Duration idle_close{30'000'000};
+    std::size_t most = 300;  // connections
+  };
+  using Clock = memory::Broker::Clock;
+  using Make = std::function<std::unique_ptr<HostConnection>(Fd fd, HostId host, SocketUpstream& owner)>;
+  SocketUpstream(ev::loop_ref loop, Reaper& reaper, Clock clock, Options options, Make make,
+                 std::function<void()> watch);
+  void attach(memory::Broker& broker) { broker_ = &broker; }
+
+  void start(memory::AttemptKey key, HostId host, const std::string& address,
+             const std::shared_ptr<const memory::Work>& work, Time stop_at) override;
+  void abandon(memory::AttemptKey key) override;
+  void probe(HostId host, const std::string& address) override;
+  void watch() override { watch_(); }
+  void wake_at(Time due) override;
+  void closed(HostId host) override;
+
+  // for the connections
+  [[nodiscard]] Time now() const { return clock_(); }
+  [[nodiscard]] const Options& options() const { return options_; }
+  void done(HostConnection* connection, const Job& job, memory::AttemptResult result, bool keep);
+  void gone(HostConnection* connection);
+
+ private:
+  void run(HostId host, const std::string& address, Job job);
+  void tell(const Job& job, HostId host, memory::AttemptResult result);
+  void drop(HostConnection* connection);
+  void wake(ev::timer&, int);
+  void sweep(ev::timer&, int);
+  void arm_wake();
+
+  ev::loop_ref loop_;
+  Reaper& reaper_;
+  Clock clock_;
+  Options options_;
+  Make make_;
+  std::function<void()> watch_;
+  memory::Broker* broker_ = nullptr;
+  std::unordered_map<HostConnection*, std::unique_ptr<HostConnection>> connections_;
+  std::map<std::pair<std::uint64_t, std::uint32_t>, HostConnection*> attempts_;
+  memory::Pool<HostConnection> pool_;
+  ev::timer wake_, sweep_;
+  Time wake_at_{};
+};
+
+}  // namespace cedarring::wire
