--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -56,11 +56,9 @@
     return;
   }
   std::string value;
-  if (v.IsArray()) {
+  if (v.IsArray())
     for (const auto& item : v.GetArray()) value += (value.empty() ? "" : ",") + plain(item);
-  } else {
-    value = plain(v);
-  }
+  else value = plain(v);
   out += path + "=" + value + " ";
 }
 
@@ -96,44 +94,81 @@
   std::ifstream in(path);
   std::stringstream text;
   text << in.rdbuf();
-  if (!in) throw ConfigError(std::string("ROUTER_CONFIG: cannot read ") + path);
+  if (!in) throw ConfigError(std::string("cannot read ") + path);
   return text.str();
 }
 
 }  // namespace
 
-Config parse_config(const std::string& json) {
+namespace {
+
+rapidjson::Document parse_json(const std::string& json, const char* what) {
   rapidjson::Document d;
   d.Parse<rapidjson::kParseIterativeFlag>(json.c_str());
-  if (d.HasParseError() || !d.IsObject()) throw ConfigError("config: not a JSON object");
-  Config c;
-  c.name = need_text(d, "name");
-  c.listen = need_text(d, "listen");
-  c.discovery = need_text(d, "discovery");
-  c.memory_mb = limit(d, "memory_mb", c.memory_mb);
-  c.sockets = limit(d, "sockets", c.sockets);
-  const auto seed = d.FindMember("seed");
-  std::uint64_t number = 0;
-  if (seed != d.MemberEnd() && seed->value.IsUint64()) number = seed->value.GetUint64();
-  else if (seed != d.MemberEnd() && seed->value.IsString()) number = std::strtoull(seed->value.GetString(), nullptr, 16);
-  else throw ConfigError("seed: not a number");
-  if (const auto known = d.FindMember("known"); known != d.MemberEnd() && !known->value.IsNull()) {
+  if (d.HasParseError() || !d.IsObject()) throw ConfigError(std::string(what) + ": not a JSON object");
+  return d;
+}
+
+std::uint64_t read_seed(const Json& root) {
+  const auto& seed = need(root, "seed");
+  if (seed.IsUint64()) return seed.GetUint64();
+  if (!seed.IsString()) throw ConfigError("seed: not a number");
+  const std::string text = seed.GetString();
+  char* end = nullptr;
+  const auto number = std::strtoull(text.c_str(), &end, 16);
+  if (text.empty() || *end != '\0') throw ConfigError("seed: not a number");
+  return number;
+}
+
+/// The list of hosts and the settings, where they are given.
+void read_service(const Json& root, std::uint64_t seed, const std::string& path, ServiceConfig& c) {
+  if (const auto known = root.FindMember("known"); known != root.MemberEnd() && !known->value.IsNull()) {
     const auto list = wire::parse_members(plain(known->value));
-    if (!list) throw ConfigError("known: not a list");
+    if (!list) throw ConfigError(path + "known: not a list");
     c.known = *list;
   }
-  const auto& settings = need(d, "settings");
-  if (!settings.IsObject()) throw ConfigError("settings: not an object");
+  const auto settings = root.FindMember("settings");
+  if (settings == root.MemberEnd()) return;
+  if (!settings->value.IsObject()) throw ConfigError(path + "settings: not an object");
   std::string facts;
-  flatten(settings, "", facts);
-  Time base{};
+  flatten(settings->value, "", facts);
+  Time base{};  // positions on sockets are Unix times: nothing is counted from it here
+  c.zones.clear();
   try {
-    c.settings = sim::parse_settings(facts, number, "", c.zones, base);
+    c.settings = sim::parse_settings(facts, seed, "", c.zones, base);
     check(c.settings);
-  } catch (const std::exception& e) {
-    throw ConfigError("settings." + std::string(e.what()) + ": bad value");
-  }
-  c.budgets = read_budgets(settings);
+  } catch (const std::exception& e) { throw ConfigError(path + "settings." + e.what() + ": bad value"); }
+  c.budgets = read_budgets(settings->value);
+}
+
+}  // namespace
+
+Config parse_config(const std::string& json) {
+  const auto d = parse_json(json, "config");
+  Config c;
+  c.name = need_text(d, "name");
+  c.platform.listen = need_text(d, "listen");
+  c.platform.discovery = need_text(d, "discovery");
+  c.memory_mb = limit(d, "memory_mb", c.memory_mb);
+  c.sockets = limit(d, "sockets", c.sockets);
+  need(d, "settings");
+  read_service(d, read_seed(d), "", c.platform);
+  return c;
+}
+
+std::optional<ServiceConfig> parse_mysql_config(const std::string& json, const ServiceConfig& platform) {
+  const auto d = parse_json(json, "mysql");
+  const auto& enabled = need(d, "enabled");
+  if (!enabled.IsBool()) throw ConfigError("mysql.enabled: not true or false");
+  if (!enabled.GetBool()) return std::nullopt;
+  auto c = platform;
+  c.listen = need_text(d, "listen");
+  check_address("mysql.listen", c.listen);
+  c.discovery.clear();
+  if (d.HasMember("discovery")) c.discovery = need_text(d, "discovery");
+  if (!c.discovery.empty()) check_address("mysql.discovery", c.discovery);
+  c.known = {};
+  read_service(d, platform.settings.seed + 1, "mysql.", c);
   return c;
 }
 
@@ -145,10 +180,13 @@
     if (const char* text = std::getenv(name); text && *text) value = text;
   };
   variable("ROUTER_NAME", c.name);
-  variable("ROUTER_LISTEN", c.listen);
-  variable("ROUTER_DISCOVERY", c.discovery);
-  check_address("listen", c.listen);
-  check_address("discovery", c.discovery);
+  variable("ROUTER_LISTEN", c.platform.listen);
+  variable("ROUTER_DISCOVERY", c.platform.discovery);
+  check_address("listen", c.platform.listen);
+  check_address("discovery", c.platform.discovery);
+  std::string mysql = "deploy/mysql.json";
+  variable("CEDARRING_MYSQL", mysql);
+  if (std::ifstream(mysql)) c.mysql = parse_mysql_config(read_file(mysql.c_str()), c.platform);
   return c;
 }
 
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -15,18 +15,28 @@
   using std::runtime_error::runtime_error;
 };
 
-struct Config {
-  std::string name, listen, discovery;
-  std::size_t memory_mb = 192, sockets = 1024;
+/// One front: where it listens, and the hosts behind it.
+struct ServiceConfig {
+  std::string listen, discovery;
   memory::MemberList known;
   Settings settings;
   std::vector<memory::Budget> budgets;
   std::vector<std::string> zones;
 };
 
+struct Config {
+  std::string name;
+  std::size_t memory_mb = 192, sockets = 1024;
+  ServiceConfig platform;
+  std::optional<ServiceConfig> mysql;  // absent: off
+};
+
 /// Reads the JSON; throws ConfigError.
 Config parse_config(const std::string& json);
-/// Reads the file of ROUTER_CONFIG; the other variables win over what it holds.
+/// Reads the MySQL front's file: nothing if it is off. What it leaves out is as on the platform.
+std::optional<ServiceConfig> parse_mysql_config(const std::string& json, const ServiceConfig& platform);
+/// Reads the file of ROUTER_CONFIG; the other variables win over what it holds. The MySQL front's file is
+/// deploy/mysql.json, or what CEDARRING_MYSQL names.
 Config load_config();
 
 }  // namespace cedarring::app
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -2,67 +2,67 @@
 
 #include <algorithm>
 
+#include "wire/mysql_client.h"
+#include "wire/mysql_host.h"
+#include "wire/pg_client.h"
+#include "wire/pg_host.h"
+
 namespace cedarring::app {
 namespace {
 
-constexpr double serve_after_term = 0.5;  // seconds: the front goes on sending for 0.2 to 0.4 s
-constexpr std::size_t spare_descriptors = 48;  // listener, discovery, the loop's own, a burst of accepts
+constexpr double serve_after_term = 0.5;       // seconds: the front goes on sending for 0.2 to 0.4 s
+constexpr std::size_t spare_descriptors = 48;  // listeners, discovery, the loop's own, a burst of accepts
 
-wire::SocketUpstream::Options upstream_options(const Config& c) {
-  wire::SocketUpstream::Options o;
-  o.connect_timeout = c.settings.connect_timeout;
-  o.idle_close = c.settings.idle_close;
-  o.most = (c.sockets - spare_descriptors) * 2 / 5;
-  return o;
+template <class Host, class Client>
+Service::Parts parts(ev::loop_ref loop) {
+  return {[loop](wire::Fd fd, HostId host, wire::SocketUpstream& owner) {
+            return std::make_unique<Host>(loop, std::move(fd), host, owner);
+          },
+          [loop](wire::Fd fd, wire::ClientSet& owner) {
+            return std::make_unique<Client>(loop, std::move(fd), owner);
+          }};
 }
 
 }  // namespace
 
 Gateway::Gateway(ev::loop_ref loop, const Config& c)
-    : loop_(loop),
-      reaper_(loop),
-      upstream_(loop, reaper_, [this] { return clock_.now(); }, upstream_options(c),
-                [loop](wire::Fd fd, HostId host, wire::SocketUpstream& owner) {
-                  return std::make_unique<wire::PgHost>(loop, std::move(fd), host, owner);
-                },
-                [this] { discovery_.start(); }),
-      broker_(c.settings, c.budgets, c.zones, [this] { return clock_.now(); }, upstream_),
-      discovery_(loop, reaper_, c.discovery, c.known.version,
-                 {[this](const memory::MemberList& list) { broker_.listed(list); },
-                  [this] { broker_.list_failed(); }}),
-      front_(loop, reaper_, broker_, c.listen, (c.sockets - spare_descriptors) * 3 / 5,
-             [loop](wire::Fd fd, wire::ClientSet& owner) {
-               return std::make_unique<wire::PgClient>(loop, std::move(fd), owner);
-             }),
-      term_(loop),
-      int_(loop),
-      drain_(loop),
-      check_(loop) {
-  upstream_.attach(broker_);
+    : loop_(loop), reaper_(loop), term_(loop), int_(loop), drain_(loop), check_(loop) {
   term_.set<Gateway, &Gateway::stop>(this);
   int_.set<Gateway, &Gateway::stop>(this);
   term_.start(SIGTERM);
   int_.start(SIGINT);
   drain_.set<Gateway, &Gateway::drain>(this);
   check_.set<Gateway, &Gateway::check_empty>(this);
-  broker_.start(c.known);
+  const auto clock = [this] { return clock_.now(); };
+  const auto descriptors = (c.sockets - spare_descriptors) / (c.mysql ? 2 : 1);
+  services_.push_back(std::make_unique<Service>(loop, reaper_, clock, c.platform,
+                                                parts<wire::PgHost, wire::PgClient>(loop), descriptors));
+  if (c.mysql)
+    services_.push_back(std::make_unique<Service>(
+        loop, reaper_, clock, *c.mysql, parts<wire::MysqlHost, wire::MysqlClient>(loop), descriptors));
 }
 
 void Gateway::run() { loop_.run(0); }
 
+bool Gateway::empty() const {
+  return std::all_of(
+      services_.begin(), services_.end(), [](const auto& s) { return s->empty(); });
+}
+
+/// New clients are still taken for a while: those who send them here have not heard yet.
 void Gateway::stop(ev::sig&, int) {
   if (!drain_.is_active() && !check_.is_active()) drain_.start(serve_after_term);
 }
 
 void Gateway::drain(ev::timer&, int) {
-  front_.drain();
+  for (auto& s : services_) s->drain();
   check_.start();
-  if (front_.empty()) loop_.break_loop(ev::ALL);
+  if (empty()) loop_.break_loop(ev::ALL);
 }
 
 /// Once draining, ends as soon as the last client has its answer and has left.
 void Gateway::check_empty(ev::check&, int) {
-  if (front_.empty()) loop_.break_loop(ev::ALL);
+  if (empty()) loop_.break_loop(ev::ALL);
 }
 
 }  // namespace cedarring::app
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -3,12 +3,12 @@
 
 #include <ev++.h>
 
+#include <memory>
+#include <vector>
+
 #include "app/clock.h"
 #include "app/config.h"
-#include "memory/broker.h"
-#include "wire/discovery.h"
-#include "wire/pg_client.h"
-#include "wire/pg_host.h"
+#include "app/service.h"
 
 namespace cedarring::app {
 
@@ -22,14 +22,12 @@
   void stop(ev::sig&, int);
   void drain(ev::timer&, int);
   void check_empty(ev::check&, int);
+  [[nodiscard]] bool empty() const;
 
   ev::loop_ref loop_;
   UnixClock clock_;
   wire::Reaper reaper_;
-  wire::SocketUpstream upstream_;
-  memory::Broker broker_;
-  wire::DiscoveryWatch discovery_;
-  wire::ClientSet front_;
+  std::vector<std::unique_ptr<Service>> services_;
   ev::sig term_, int_;
   ev::timer drain_;
   ev::check check_;
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -23,8 +23,8 @@
 Rejection Broker::accept(const Ask& ask, Front& front, RequestId& id) {
   const auto contract = std::find(contracts_.begin(), contracts_.end(), ask.contract);
   if (contract == contracts_.end()) return Rejection::unknown_contract;
-  const auto budget = std::find_if(
-      budgets_.begin(), budgets_.end(), [&](const Budget& b) { return b.tenant == ask.tenant; });
+  const auto budget =
+      std::find_if(budgets_.begin(), budgets_.end(), [&](const Budget& b) { return b.tenant == ask.tenant; });
   if (!budgets_.empty() && budget == budgets_.end()) return Rejection::unknown_tenant;
   if (!hosts_.has_group(ask.group)) return Rejection::unknown_group;
   if (requests_.size() >= max_requests_) return Rejection::overfull;
@@ -80,8 +80,9 @@
   event.elapsed = clock_() - a.sent;
   event.note = result.note;
   event.report = result.report;
-  if (!result.message.empty()) r.message = std::move(result.message);
-  if (result.outcome == Outcome::ok) end(key.request, {End::served, {}, std::move(result.value), {}});
+  r.why = result.outcome;
+  r.message = std::move(result.message);
+  if (result.outcome == Outcome::ok) end(key.request, {End::served, {}, std::move(result.value), {}, {}});
   event.request_ended = r.ended;
   feed(event);
   settle(key.request);
@@ -126,10 +127,10 @@
     upstream_.abandon({c->request, c->attempt});
     attempt_ended({c->request, c->attempt}, {Outcome::cancelled, {}, {}, {}, {}});
   } else if (const auto* r = std::get_if<Refuse>(&action)) {
-    end(r->request, {End::refused, r->pause, {}, {}});
+    end(r->request, {End::refused, r->pause, {}, {}, {}});
     settle(r->request);
   } else if (const auto* f = std::get_if<Fail>(&action)) {
-    end(f->request, {End::failed, {}, {}, {}});
+    end(f->request, {End::failed, {}, {}, {}, {}});
     settle(f->request);
   } else if (const auto* p = std::get_if<Probe>(&action)) {
     upstream_.probe(p->host, hosts_.address(p->host));
@@ -159,7 +160,7 @@
   const auto it = requests_.find(id.value);
   if (it == requests_.end() || it->second.ended) return;
   it->second.ended = true;
-  if (answer.end == End::failed) answer.message = std::move(it->second.message);
+  if (answer.end == End::failed) answer.message = std::move(it->second.message), answer.why = it->second.why;
   if (auto* front = std::exchange(it->second.front, nullptr)) front->finish(id, std::move(answer));
 }
 
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -1,5 +1,5 @@
-// The broker: requests, attempts, contracts and budgets. It drives the Router and knows no wire: a Front takes
-// final answers, an Upstream carries attempts out. Decides nothing itself.
+// The broker: requests, attempts, contracts and budgets. It drives the Router and knows no wire: a Front
+// takes final answers, an Upstream carries attempts out. Decides nothing itself.
 #pragma once
 
 #include <deque>
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "memory/host_table.h"
 #include "cedarring/router.h"
+#include "memory/host_table.h"
 
 namespace cedarring::memory {
 
@@ -34,9 +34,10 @@
 enum class End { served, refused, failed };
 struct FinalAnswer {
   End end = End::failed;
-  Duration pause{};     // of a refusal: when to come back
-  std::string value;    // of what was served: as the upstream gave it
-  std::string message;  // of a failure: what the host said, if anything
+  Duration pause{};            // of a refusal: when to come back
+  std::string value;           // of what was served: as the upstream gave it
+  std::string message;         // of a failure: what the host said, if anything
+  std::optional<Outcome> why;  // of a failure: how the last attempt ended
 };
 
 class Front {
@@ -113,6 +114,7 @@
     Time deadline{};
     std::vector<Attempt> attempts;
     std::string message;  // what the last host said, for a failure
+    std::optional<Outcome> why;
     int out = 0;
     bool ended = false;
   };
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -40,8 +40,7 @@
 void Client::take() {
   if (taking_) return;
   taking_ = true;
-  while (!closed() && !busy_ && !closing_ && take_one()) {
-  }
+  while (!closed() && !busy_ && !closing_ && take_one()) {}
   taking_ = false;
   if (closed()) return;
   if (draining_ && !busy_ && in_.empty() && out_.empty()) return leave();
--- a/src/wire/discovery.h
+++ b/src/wire/discovery.h
@@ -22,7 +22,8 @@
     std::function<void(const memory::MemberList&)> listed;
     std::function<void()> failed;
   };
-  DiscoveryWatch(ev::loop_ref loop, Reaper& reaper, std::string address, std::uint64_t version, Events events);
+  DiscoveryWatch(ev::loop_ref loop, Reaper& reaper, std::string address, std::uint64_t version,
+                 Events events);
   ~DiscoveryWatch();
   /// Starts a watch anew; one event follows in any case.
   void start();
--- a/src/wire/pg.cpp
+++ b/src/wire/pg.cpp
@@ -12,7 +12,8 @@
 }
 
 void put_u32(std::string& out, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(v >> static_cast<unsigned>(shift) & 0xffU);
+  for (int shift = 24; shift >= 0; shift -= 8)
+    out += static_cast<char>(v >> static_cast<unsigned>(shift) & 0xffU);
 }
 
 void put_text(std::string& out, std::string_view text) {
--- a/src/wire/pg_client.h
+++ b/src/wire/pg_client.h
@@ -10,7 +10,8 @@
 
 class PgClient : public Client {
  public:
-  PgClient(ev::loop_ref loop, Fd fd, ClientSet& owner) : Client(loop, std::move(fd), owner, pg_message_most) {}
+  PgClient(ev::loop_ref loop, Fd fd, ClientSet& owner)
+      : Client(loop, std::move(fd), owner, pg_message_most) {}
   void turn_away() override;
 
  private:
--- a/src/wire/pg_work.h
+++ b/src/wire/pg_work.h
@@ -8,7 +8,8 @@
 
 namespace cedarring::wire {
 
-inline constexpr std::size_t pg_message_most = 200 * 1024;  // a value of 64 KiB, spelt in hex, and its statement
+inline constexpr std::size_t pg_message_most =
+    200 * 1024;  // a value of 64 KiB, spelt in hex, and its statement
 
 struct PgWork : memory::Work {
   std::string sql;
--- a/src/wire/statement.cpp
+++ b/src/wire/statement.cpp
@@ -35,7 +35,8 @@
 bool parse_statement(std::string_view sql, StatementInfo& info, std::string& missing) {
   info = {};
   auto text = sql;
-  while (!text.empty() && (text.back() == ' ' || text.back() == ';' || text.back() == '\n')) text.remove_suffix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == ';' || text.back() == '\n'))
+    text.remove_suffix(1);
   const auto open = text.rfind("/*");
   if (open == std::string_view::npos || text.size() < open + 4 || text.substr(text.size() - 2) != "*/") {
     missing = "a trailing comment";
@@ -62,7 +63,8 @@
     fields.remove_prefix(end + 1);
   }
   if (const auto first = sql.find('\''); first < open)
-    if (const auto last = sql.find('\'', first + 1); last < open) info.session = sql.substr(first + 1, last - first - 1);
+    if (const auto last = sql.find('\'', first + 1); last < open)
+      info.session = sql.substr(first + 1, last - first - 1);
   missing = lacking(info);
   return missing.empty();
 }
--- a/src/wire/statement.h
+++ b/src/wire/statement.h
@@ -16,7 +16,7 @@
   std::optional<std::int64_t> cluster;
   std::optional<std::int64_t> after_ms;  // Unix time
   bool retry = false;
-  std::string_view session;                      // the quoted key
+  std::string_view session;                       // the quoted key
   std::size_t deadline_at = 0, deadline_len = 0;  // where the digits of d stand in the statement
 };
 
@@ -35,7 +35,8 @@
 /// The statement with `ms` in place of the client's deadline.
 std::string with_deadline(std::string_view sql, const StatementInfo& info, std::int64_t ms);
 
-/// The session that a quoted key names: FNV-1a, as on the simulator's wire; a clash only makes a read stricter.
+/// The session that a quoted key names: FNV-1a, as on the simulator's wire; a clash only makes a read
+/// stricter.
 SessionId session_of(std::string_view key);
 
 /// What a host tells of itself beside an answer: `recovery` and `lsn_ms`, in either protocol.
