--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -1,6 +1,7 @@
 #include "app/gateway.h"
 
 #include <algorithm>
+#include <iostream>
 
 #include "wire/mysql_client.h"
 #include "wire/mysql_host.h"
@@ -42,7 +43,12 @@
         loop, reaper_, clock, *c.mysql, parts<wire::MysqlHost, wire::MysqlClient>(loop), descriptors));
 }
 
-void Gateway::run() { loop_.run(0); }
+void Gateway::run() {
+  static constexpr const char* fronts[] = {"postgresql", "mysql"};
+  for (std::size_t i = 0; i < services_.size(); ++i)
+    std::cout << "listening " << fronts[i] << ' ' << services_[i]->address() << std::endl;
+  loop_.run(0);
+}
 
 bool Gateway::empty() const {
   return std::all_of(
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -20,6 +20,7 @@
   Service(ev::loop_ref loop, wire::Reaper& reaper, memory::Broker::Clock clock, const ServiceConfig& config,
           const Parts& parts, std::size_t descriptors);
   void drain() { clients_.drain(); }
+  [[nodiscard]] std::string address() const { return clients_.address(); }
   [[nodiscard]] bool empty() const { return clients_.empty(); }
 
  private:
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -55,6 +55,7 @@
   /// No new clients; those there are leave as they fall idle.
   void drain();
   [[nodiscard]] bool empty() const { return clients_.empty(); }
+  [[nodiscard]] std::string address() const { return bound_address(listener_); }
   void gone(Client* client);
   memory::Broker& broker() { return broker_; }
 
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -88,6 +88,15 @@
   return fd;
 }
 
+std::string bound_address(const Fd& listener) {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  getsockname(listener.get(), reinterpret_cast<sockaddr*>(&at), &size);
+  char text[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &at.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(at.sin_port));
+}
+
 Fd accept_from(int listener) {
   Fd fd(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (fd.get() >= 0) no_delay(fd.get());
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -32,6 +32,8 @@
 Fd connect_to(const std::string& address);
 /// Listens there and nowhere else.
 Fd listen_on(const std::string& address);
+/// Where a listener really is, for port 0.
+std::string bound_address(const Fd& listener);
 /// The next connection waiting, -1 with errno if there is none.
 Fd accept_from(int listener);
 
--- /dev/null
+++ b/tests/broker_test.cpp
@@ -0,0 +1,213 @@
+// The broker with a fake front and a fake upstream: no sockets, a clock set by hand.
+#include "memory/broker.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "memory/pool.h"
+
+namespace cedarring::test {
+namespace {
+
+using namespace memory;
+using namespace std::chrono_literals;
+
+struct FakeFront : Front {
+  std::map<std::uint64_t, FinalAnswer> answers;
+  int count = 0;
+  void finish(RequestId request, FinalAnswer answer) override {
+    answers[request.value] = std::move(answer);
+    ++count;
+  }
+};
+
+struct FakeUpstream : Upstream {
+  struct Started {
+    AttemptKey key;
+    std::string address;
+    Time stop_at;
+  };
+  std::vector<Started> started;
+  std::vector<AttemptKey> abandoned;
+  std::vector<std::string> probes;
+  int out = 0, most_out = 0, watches = 0;
+  Time wake{};
+  std::optional<Outcome> at_once;  // how every attempt ends before start() returns
+  Broker* broker = nullptr;
+  void start(AttemptKey key, HostId, const std::string& address, const std::shared_ptr<const Work>&,
+             Time stop_at) override {
+    started.push_back({key, address, stop_at});
+    most_out = std::max(most_out, ++out);
+    if (at_once) end(key, *at_once);
+  }
+  void end(AttemptKey key, Outcome outcome) {
+    --out;
+    AttemptResult r;
+    r.outcome = outcome;
+    r.value = "value";
+    broker->attempt_ended(key, r);
+  }
+  void abandon(AttemptKey key) override {
+    abandoned.push_back(key);
+    --out;
+  }
+  void probe(HostId, const std::string& address) override { probes.push_back(address); }
+  void watch() override { ++watches; }
+  void wake_at(Time due) override { wake = due; }
+  void closed(HostId) override {}
+};
+
+struct Bench {
+  Time now{1'000'000'000};
+  FakeUpstream upstream;
+  FakeFront front;
+  Broker broker;
+  Bench()
+      : broker(
+            settings(), {{"acme", 10}}, {"a"}, [this] { return now; }, upstream, 50) {
+    upstream.broker = &broker;
+    MemberList list;
+    list.full = true;
+    for (const auto* id : {"p", "q", "r"})
+      list.members.push_back({id, id, "a", GroupId{1}, HostState::ready, 1, id[0] == 'p', {}});
+    broker.start(list);
+  }
+  static Settings settings() {
+    Settings s;
+    for (const auto& [name, effect, freshness] : {std::tuple{"history", Effect::safe, Freshness::any},
+                                                  std::tuple{"bid", Effect::keyed, Freshness::write},
+                                                  std::tuple{"pay", Effect::unsafe, Freshness::write}}) {
+      RequestClass c;
+      c.name = name;
+      c.aim = 300ms;
+      c.deadline = 2s;
+      c.effect = effect;
+      c.freshness = freshness;
+      c.scope = RepeatScope::group;
+      c.window = 1200ms;
+      s.classes.push_back(c);
+    }
+    s.checks = StaleCheck::refuse;
+    s.list_role = ListRole::late;
+    s.may_cancel = true;
+    s.retry_after = true;
+    s.max_attempts = 6;
+    s.may_probe = false;
+    s.discovery = DiscoveryMode::ask;
+    return s;
+  }
+  RequestId ask(const std::string& contract, Rejection expected = Rejection::none,
+                const std::string& tenant = "acme", std::int64_t group = 1) {
+    Ask a;
+    a.contract = contract;
+    a.tenant = tenant;
+    a.group = GroupId{group};
+    a.time_left = 1s;
+    RequestId id;
+    EXPECT_EQ(broker.accept(a, front, id), expected);
+    return id;
+  }
+  void run_until(Time end) {
+    while (now < end) now += 5ms, broker.timer_fired();
+  }
+};
+
+TEST(Broker, OneFinalAnswerEachAndNothingIsKept) {
+  Bench b;
+  for (const auto outcome : {Outcome::ok, Outcome::error, Outcome::reset, Outcome::timeout, Outcome::full}) {
+    b.upstream.at_once = outcome;
+    const auto before = b.front.count;
+    for (int i = 0; i < 3; ++i) b.ask("pay");
+    b.run_until(b.now + 2s);
+    EXPECT_EQ(b.front.count, before + 3);
+    EXPECT_EQ(b.broker.open_requests(), 0U);
+  }
+  EXPECT_EQ(b.upstream.most_out, 1);
+}
+
+TEST(Broker, TheDeadlineBoundsEachAttempt) {
+  Bench b;
+  b.ask("history");
+  ASSERT_EQ(b.upstream.started.size(), 1U);
+  EXPECT_EQ(b.upstream.started[0].stop_at, b.now + 1s);
+}
+
+TEST(Broker, AnUnsafeRequestThatMayHaveRunFails) {
+  struct Case {
+    Outcome outcome;
+    End end;
+  };
+  for (const auto& c : {Case{Outcome::reset, End::failed}, Case{Outcome::timeout, End::failed},
+                        Case{Outcome::error, End::failed}}) {
+    Bench b;
+    b.upstream.at_once = c.outcome;
+    const auto id = b.ask("pay");
+    b.run_until(b.now + 1s);
+    EXPECT_EQ(b.upstream.started.size(), 1U);
+    EXPECT_EQ(b.front.answers.at(id.value).end, c.end);
+    EXPECT_EQ(b.front.answers.at(id.value).why, c.outcome);
+  }
+}
+
+TEST(Broker, NeverTwoAttemptsAtOnceAndSixAtMost) {
+  Bench b;
+  for (int i = 0; i < 20; ++i) {
+    b.upstream.started.clear();
+    const auto id = b.ask("history");
+    // Whatever never ran goes out again: one at a time, to the bound.
+    for (int step = 0; step < 400 && b.front.answers.count(id.value) == 0; ++step) {
+      ASSERT_LE(b.upstream.out, 1);
+      if (b.upstream.out > 0) b.upstream.end(b.upstream.started.back().key, Outcome::connect_failed);
+      b.run_until(b.now + 5ms);
+    }
+    ASSERT_EQ(b.front.answers.count(id.value), 1U);
+    EXPECT_LE(b.upstream.started.size(), 6U);
+    EXPECT_EQ(b.front.answers.at(id.value).end, End::refused);
+  }
+  EXPECT_EQ(b.upstream.most_out, 1);
+}
+
+TEST(Broker, AClientThatLeavesEndsItsAttempt) {
+  Bench b;
+  const auto id = b.ask("pay");
+  b.broker.client_left(id);
+  ASSERT_EQ(b.upstream.abandoned.size(), 1U);
+  EXPECT_EQ(b.broker.open_requests(), 0U);
+  EXPECT_EQ(b.front.count, 0);
+  b.broker.attempt_ended({id, 0}, {});  // an answer that crossed it changes nothing
+  EXPECT_EQ(b.front.count, 0);
+}
+
+TEST(Broker, WhatIsUnknownIsRejected) {
+  Bench b;
+  b.ask("nothing", Rejection::unknown_contract);
+  b.ask("pay", Rejection::unknown_tenant, "nobody");
+  b.ask("pay", Rejection::unknown_group, "acme", 9);
+  for (int i = 0; i < 50; ++i) b.ask("pay");
+  b.ask("pay", Rejection::overfull);
+}
+
+TEST(Broker, AFailedListIsAskedForAgain) {
+  Bench b;
+  b.run_until(b.now + 2s);
+  const auto before = b.upstream.watches;
+  EXPECT_GE(before, 1);
+  b.broker.list_failed();
+  b.run_until(b.now + 10s);
+  EXPECT_GT(b.upstream.watches, before);
+}
+
+TEST(Pool, TakesTheLatestAndRetiresTheOldest) {
+  Pool<int> pool;
+  int a = 0, b = 0, c = 0;
+  pool.put(HostId{1}, &a, 1s), pool.put(HostId{1}, &b, 2s), pool.put(HostId{2}, &c, 3s);
+  EXPECT_EQ(pool.retire(Time(1500ms)), (std::vector<int*>{&a}));
+  EXPECT_EQ(pool.take(HostId{1}), &b);
+  EXPECT_EQ(pool.take(HostId{1}), nullptr);
+  EXPECT_EQ(pool.oldest(), &c);
+  EXPECT_EQ(pool.oldest(), nullptr);
+}
+
+}  // namespace
+}  // namespace cedarring::test
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,218 @@
+// The rules, each with real sockets against the started program.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <algorithm>
+
+#include "support/stand_in.h"
+
+namespace cedarring::test {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// A primary, two replicas, discovery and the program.
+struct Fleet {
+  PgStandIn primary, left, right;
+  std::vector<std::string> members;
+  std::unique_ptr<Discovery> discovery;
+  std::unique_ptr<Program> program;
+  explicit Fleet(std::int64_t right_started = 0) {
+    primary.primary = true;
+    members = {member("p", primary.address(), true), member("l", left.address(), false),
+               member("r", right.address(), false, "SERVING", right_started)};
+    discovery = std::make_unique<Discovery>(list_of(1, members));
+    program = std::make_unique<Program>(config_json(discovery->address(), list_of(1, members)));
+  }
+  std::size_t all() { return primary.count() + left.count() + right.count(); }
+  void act(Act a) { primary.act = a, left.act = a, right.act = a; }
+};
+
+TEST(Gateway, ServesTheValueOfAHost) {
+  Fleet f;
+  PgClient c(f.program->pg());
+  const auto read = c.query(statement("a1", "history"));
+  EXPECT_EQ(read.types, "TDCZ");
+  EXPECT_EQ(read.value.rfind("from 127.0.0.1:", 0), 0U);
+  EXPECT_EQ(c.query(statement("a2", "bid")).value, "from " + f.primary.address());
+  EXPECT_EQ(c.query(statement("a3", "gate")).value, "from " + f.primary.address());
+}
+
+TEST(Gateway, OneFinalAnswerInTime) {
+  Fleet f;
+  f.act(Act::hang);
+  PgClient c(f.program->pg());
+  const auto start = Clock::now();
+  const auto answer = c.query(statement("a1", "pay", 600));
+  const auto took = Clock::now() - start;
+  EXPECT_EQ(answer.types, "EZ");
+  EXPECT_GE(took, 550ms);
+  EXPECT_LT(took, 3s);
+  EXPECT_TRUE(f.primary.wait_ended(1));  // and its host connection is closed, not kept
+  f.act(Act::serve);
+  EXPECT_EQ(c.query(statement("a2", "pay")).types, "TDCZ");
+}
+
+TEST(Gateway, WhatMayHaveRunDoesNotGoOutAgain) {
+  Fleet f;
+  f.primary.act = Act::reset;
+  PgClient c(f.program->pg());
+  const auto answer = c.query(statement("a1", "pay"));
+  EXPECT_EQ(answer.types, "EZ");
+  EXPECT_NE(answer.code, "53300");  // no refusal either: it may have run
+  EXPECT_EQ(f.all(), 1U);
+}
+
+TEST(Gateway, AKeyedRepeatStaysInItsGroupUnderItsKey) {
+  Fleet f;
+  f.primary.act = Act::reset_once;
+  PgClient c(f.program->pg());
+  EXPECT_EQ(c.query(statement("a1", "bid")).types, "TDCZ");
+  EXPECT_EQ(f.primary.seen(), (std::vector<std::string>{"a1", "a1"}));
+  EXPECT_EQ(f.left.count() + f.right.count(), 0U);
+}
+
+TEST(Gateway, SixAttemptsAtMostThenRefusedAtOnceWithAPause) {
+  Fleet f;
+  f.act(Act::full);
+  PgClient c(f.program->pg());
+  const auto start = Clock::now();
+  const auto answer = c.query(statement("a1", "history", 5000));
+  EXPECT_LT(Clock::now() - start, 2500ms);
+  EXPECT_EQ(answer.code, "53300");
+  EXPECT_GT(std::atoi(answer.detail.c_str()), 0);
+  EXPECT_GE(f.all(), 1U);
+  EXPECT_LE(f.all(), 6U);
+}
+
+TEST(Gateway, NothingNewToAHostThatDrains) {
+  Fleet f;
+  ASSERT_TRUE(f.discovery->wait_watches(1));
+  PgClient c(f.program->pg());
+  for (int i = 0; i < 60; ++i) c.query(statement("a" + std::to_string(i), "history"));
+  const auto before = f.left.count();
+  EXPECT_GT(before, 0U);
+  f.discovery->tell(list_of(2, {member("l", f.left.address(), false, "DRAINING")}, false));
+  std::this_thread::sleep_for(1s);  // what the rule allows
+  const auto told = f.left.count();
+  for (int i = 0; i < 60; ++i)
+    EXPECT_EQ(c.query(statement("b" + std::to_string(i), "history")).types, "TDCZ");
+  EXPECT_EQ(f.left.count(), told);
+}
+
+TEST(Gateway, AColdHostIsSpared) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  Fleet f(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  PgClient c(f.program->pg());
+  for (int i = 0; i < 200; ++i) c.query(statement("a" + std::to_string(i), "history"));
+  EXPECT_EQ(f.all(), 200U);
+  EXPECT_LT(f.right.count(), f.left.count() / 2);
+}
+
+TEST(Gateway, AReadTurnedAwayAsTooOldGoesToThePrimary) {
+  Fleet f;
+  f.left.act = Act::miss, f.right.act = Act::miss;
+  PgClient c(f.program->pg());
+  for (const auto* contract : {"view", "gate"})
+    EXPECT_EQ(c.query(statement(contract, contract)).value, "from " + f.primary.address());
+}
+
+TEST(Gateway, AClientThatClosesEndsItsAttempt) {
+  Fleet f;
+  f.act(Act::hang);
+  {
+    PgClient c(f.program->pg());
+    c.socket.send(pg_query(statement("a1", "pay")));
+    ASSERT_TRUE(f.primary.wait_for(1));
+  }
+  EXPECT_TRUE(f.primary.wait_ended(1));
+  f.act(Act::serve);
+  PgClient other(f.program->pg());
+  EXPECT_EQ(other.query(statement("a2", "pay")).types, "TDCZ");
+  EXPECT_EQ(f.primary.seen(), (std::vector<std::string>{"a1", "a2"}));
+}
+
+TEST(Gateway, TermServesOnFinishesWhatItHoldsAndExitsCleanly) {
+  Fleet f;
+  f.primary.act = Act::hang;
+  PgClient held(f.program->pg()), idle(f.program->pg());
+  held.socket.send(pg_query(statement("a1", "pay", 2500)));
+  ASSERT_TRUE(f.primary.wait_for(1));
+  f.program->signal(SIGTERM);
+  PgClient late(f.program->pg());  // the front has not heard yet
+  EXPECT_EQ(late.query(statement("a2", "history")).types, "TDCZ");
+  EXPECT_TRUE(idle.socket.ended());
+  EXPECT_EQ(held.read_answer().types, "EZ");
+  EXPECT_EQ(f.program->wait_exit(), 0);
+}
+
+TEST(Gateway, AWatchThatFallsSilentIsAskedForAnew) {
+  Fleet f;
+  ASSERT_TRUE(f.discovery->wait_watches(1));
+  EXPECT_TRUE(f.discovery->wait_watches(2));  // the stand-in sends no heartbeats
+}
+
+TEST(Gateway, StartupAndQueriesInOneSegmentAreAnsweredInOrder) {
+  Fleet f;
+  PgClient c(f.program->pg(), false);
+  const std::string ssl("\0\0\0\x08\x04\xd2\x16\x2f", 8);
+  c.socket.send(ssl + pg_startup() + pg_query("") + pg_query(statement("a1", "history")) +
+                pg_query("SET x = 1"));
+  EXPECT_EQ(c.socket.read(1), "N");
+  EXPECT_EQ(c.read_answer().types, "RSSSZ");
+  EXPECT_EQ(c.read_answer().types, "IZ");
+  EXPECT_EQ(c.read_answer().types, "TDCZ");
+  EXPECT_EQ(c.read_answer().types, "CZ");
+}
+
+TEST(Gateway, WrongRequestsGetAClearError) {
+  Fleet f;
+  struct Case {
+    std::string sql, code;
+  };
+  PgClient c(f.program->pg());
+  for (const auto& [sql, code] : {Case{"SELECT 1", "08P01"}, Case{statement("a", "nothing"), "08P01"},
+                                  Case{"SELECT v /* id=a,c=view,t=nobody,d=900,cluster=1 */", "08P01"},
+                                  Case{"SELECT v /* id=a,c=view,t=acme,d=900,cluster=77 */", "3D000"},
+                                  Case{"SELECT v /* id=a,c=view,t=acme,cluster=1 */", "08P01"},
+                                  Case{"SELECT v /* id=a,c=view,t=acme,d=soon,cluster=1 */", "08P01"}}) {
+    const auto answer = c.query(sql);
+    EXPECT_EQ(answer.types, "EZ") << sql;
+    EXPECT_EQ(answer.code, code) << sql;
+  }
+  EXPECT_EQ(c.query(statement("a1", "history")).types, "TDCZ");  // it is still good for others
+  for (const auto& lost :
+       {std::string("Q\x7f\xff\xff\xff", 5), std::string("Q\0\0\0\1", 5), std::string("P\0\0\0\4", 5)}) {
+    PgClient broken(f.program->pg());
+    broken.socket.send(lost);
+    EXPECT_EQ(broken.read_answer().code, "08P01");
+    EXPECT_TRUE(broken.socket.ended());
+  }
+  EXPECT_EQ(f.all(), 1U);
+}
+
+TEST(Gateway, ABadConfigurationIsOneLineThatNamesTheKey) {
+  const auto good = config_json("127.0.0.1:1", list_of(1, {}));
+  const auto with = [&](const std::string& from, const std::string& to) {
+    auto text = good;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  struct Case {
+    std::string config, key;
+  };
+  for (const auto& [config, key] :
+       {Case{"nonsense", "config"}, Case{with("\"name\"", "\"nom\""), "name"},
+        Case{with("127.0.0.1:0", "everywhere"), "listen"}, Case{with("127.0.0.1:1\"", "x\""), "discovery"},
+        Case{with("\"seed\":\"2a\"", "\"seed\":\"zz\""), "seed"},
+        Case{with("\"sockets\":1024", "\"sockets\":1"), "limits.sockets"},
+        Case{with("\"aim\":2000", "\"aim\":\"soon\""), "settings.classes.0.aim"},
+        Case{with("\"servers\":[]", "\"servers\":7"), "known"}}) {
+    Program p(config);
+    EXPECT_EQ(p.wait_exit(), 1) << key;
+    EXPECT_NE(p.output().find(key), std::string::npos) << p.output();
+    EXPECT_EQ(std::count(p.output().begin(), p.output().end(), '\n'), 1) << p.output();
+  }
+}
+
+}  // namespace
+}  // namespace cedarring::test
--- /dev/null
+++ b/tests/support/stand_in.h
@@ -0,0 +1,176 @@
+// Stand-ins for the tests: hosts of both protocols, discovery, clients, and the started program. Loopback
+// only.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wire/connection.h"
+#include "wire/mysql.h"
+
+namespace cedarring::test {
+
+using namespace std::chrono_literals;
+inline constexpr auto patience = 20s;  // for what must come: only a failing test waits this long
+
+/// A blocking socket whose reads end after `patience`.
+class Socket {
+ public:
+  explicit Socket(wire::Fd fd);
+  static Socket to(const std::string& address);
+  bool send(std::string_view bytes);
+  /// Exactly n bytes; nothing at the end of the stream.
+  std::optional<std::string> read(std::size_t n);
+  /// True once the peer has closed or reset.
+  bool ended();
+  void reset();      // with RST
+  void shut_down();  // wakes a reader of another thread
+  [[nodiscard]] int fd() const { return fd_.get(); }
+
+ private:
+  wire::Fd fd_;
+};
+
+enum class Act { serve, hang, reset, reset_once, full, miss, error };  // reset_once: serves from then on
+
+/// A host that counts what it is asked to run. One thread a connection; all are joined at the end.
+class Host {
+ public:
+  Host();
+  virtual ~Host() = default;
+  [[nodiscard]] const std::string& address() const { return address_; }
+  std::atomic<Act> act{Act::serve};
+  std::atomic<bool> primary{false};
+  /// What came: the id of each request, in order of arrival.
+  std::vector<std::string> seen();
+  std::size_t count() { return seen().size(); }
+  bool wait_for(std::size_t requests);
+  bool wait_ended(std::size_t connections);  // connections that the gateway closed while a request hung
+  std::size_t prepared();
+
+ protected:
+  void stop();  // by the most derived destructor
+  virtual void serve(Socket& socket) = 0;
+  Act arrived(const std::string& id);
+  void hang(Socket& socket);
+  std::string health() const;
+  void count_prepare();
+
+ private:
+  void accept_all();
+  wire::Fd listener_;
+  std::string address_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> seen_;
+  std::size_t ended_ = 0, prepared_ = 0;
+  bool stopping_ = false;
+  std::list<std::shared_ptr<Socket>> sockets_;
+  std::vector<std::thread> threads_;
+  std::thread accepting_;
+};
+
+class PgStandIn : public Host {
+ public:
+  ~PgStandIn() override { stop(); }
+
+ private:
+  void serve(Socket& socket) override;
+};
+class MysqlStandIn : public Host {
+ public:
+  ~MysqlStandIn() override { stop(); }
+  std::atomic<bool> forget{false};  // does not know its statements any more
+
+ private:
+  void serve(Socket& socket) override;
+};
+
+/// One entry of a list in discovery's form.
+std::string member(const std::string& id, const std::string& address, bool primary,
+                   const std::string& state = "SERVING", std::int64_t started_ms = 0);
+std::string list_of(int version, const std::vector<std::string>& members, bool full = true);
+
+/// Discovery: tells the same first list to each watch, then what tell() says.
+class Discovery {
+ public:
+  explicit Discovery(std::string first);
+  ~Discovery();
+  [[nodiscard]] const std::string& address() const { return address_; }
+  bool wait_watches(std::size_t n);
+  void tell(const std::string& list);
+
+ private:
+  void run();
+  std::string first_;
+  wire::Fd listener_;
+  std::string address_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::shared_ptr<Socket>> watches_;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+/// The started program.
+class Program {
+ public:
+  /// With a MySQL front if `mysql` (its file) is not empty.
+  Program(const std::string& config, const std::string& mysql = "");
+  ~Program();
+  [[nodiscard]] const std::string& pg() const { return pg_; }
+  [[nodiscard]] const std::string& mysql() const { return mysql_; }
+  [[nodiscard]] const std::string& output() const { return output_; }
+  void signal(int number) const;
+  int wait_exit();
+
+ private:
+  bool read_line(std::string& line);
+  std::string dir_, pg_, mysql_, output_;
+  wire::Fd out_;
+  int pid_ = -1;
+  std::optional<int> status_;
+};
+std::string config_json(const std::string& discovery, const std::string& known, const std::string& more = "");
+std::string mysql_json(const std::string& known);
+
+/// A PostgreSQL client that reads whole answers: the types of the messages and the fields of interest.
+struct PgAnswer {
+  std::string types, code, detail, value;
+};
+class PgClient {
+ public:
+  explicit PgClient(const std::string& address, bool start = true);
+  Socket socket;
+  PgAnswer read_answer();  // up to ReadyForQuery, or the end
+  PgAnswer query(const std::string& sql);
+};
+std::string pg_startup();
+std::string pg_query(const std::string& sql);
+/// A statement in PROTOCOL's form.
+std::string statement(const std::string& id, const std::string& contract, int deadline_ms = 5000,
+                      const std::string& more = "");
+
+/// A MySQL client that speaks raw packets, for what client libraries don't.
+class MysqlRaw {
+ public:
+  explicit MysqlRaw(const std::string& address);
+  Socket socket;
+  std::optional<std::string> read_packet();
+  void command(std::string_view payload);
+  std::uint32_t prepare(const std::string& sql);  // of statements without parameters
+  wire::mysql::Error read_error();
+};
+
+}  // namespace cedarring::test
