--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Build, test, lint and run. CMake does the work; this names the usual commands.
+.PHONY: all build test lint format run clean
+
+all: build
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build -j4
+
+test:
+	tests/run
+
+# What is inherited (the module, its adapter and their tests) keeps its own layout.
+SOURCES = $(shell git ls-files 'src/app/*' 'src/memory/*' 'src/wire/*' src/main.cpp 'tests/support/*' \
+	tests/broker_test.cpp tests/codec_test.cpp tests/gateway_test.cpp tests/mysql_test.cpp)
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	cppcheck --quiet --std=c++17 --language=c++ --enable=warning,performance,portability \
+	  --inline-suppr --error-exitcode=1 -I include -I src src
+
+format:
+	clang-format -i $(SOURCES)
+
+# Needs ROUTER_CONFIG, and takes ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY.
+run: build
+	exec build/cedarring
+
+clean:
+	rm -rf build build-test
