Withdraw unsent requests from draining hosts, budgets counted, zone as a source of lists

At fault: pump() in brain.cpp held requests until their last useful send. Also: a slow connect or prepare could have put a request on a host told draining over 1 s ago (closed() in upstream.cpp); the exit waited for the next event after the last client had left (check watcher, now prepare).

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -71,6 +71,7 @@
   bool second_copies = false;
   bool retry_after = false;
   bool only_draining_binds = false;
+  bool holding_costs = false;  // a late refusal of what was never sent costs more than an early one
   std::uint32_t max_attempts = 8;
   Duration max_retry_after{1'000'000};
   Duration ask_within{10'000'000};
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -62,16 +62,19 @@
   out += path + "=" + value + " ";
 }
 
-std::vector<memory::Budget> read_budgets(const Json& settings) {
+/// Shares are over all gateways together: each keeps its part.
+std::vector<memory::Budget> read_budgets(const Json& settings, std::uint32_t gateways) {
   std::vector<memory::Budget> budgets;
   const auto realms = settings.FindMember("realms");
   if (realms == settings.MemberEnd()) return budgets;
   if (!realms->value.IsArray()) throw ConfigError("settings.realms: not a list");
   for (const auto& r : realms->value.GetArray()) {
     if (!r.IsObject()) throw ConfigError("settings.realms: not a list of objects");
+    memory::Budget b;
+    b.tenant = need_text(r, "name");
     const auto quota = r.FindMember("quota_per_s");
-    budgets.push_back({need_text(r, "name"),
-                       quota != r.MemberEnd() && quota->value.IsNumber() ? quota->value.GetDouble() : 0});
+    if (quota != r.MemberEnd() && quota->value.IsNumber()) b.per_second = quota->value.GetDouble() / gateways;
+    budgets.push_back(std::move(b));
   }
   return budgets;
 }
@@ -136,9 +139,11 @@
   c.zones.clear();
   try {
     c.settings = sim::parse_settings(facts, seed, "", c.zones, base);
+    c.settings.holding_costs =
+        true;  // PROTOCOL: refused after half its time and never sent costs 0.3 of its worth
     check(c.settings);
   } catch (const std::exception& e) { throw ConfigError(path + "settings." + e.what() + ": bad value"); }
-  c.budgets = read_budgets(settings->value);
+  c.budgets = read_budgets(settings->value, c.settings.routers);
 }
 
 }  // namespace
@@ -168,6 +173,17 @@
   if (d.HasMember("discovery")) c.discovery = need_text(d, "discovery");
   if (!c.discovery.empty()) check_address("mysql.discovery", c.discovery);
   c.known = {};
+  if (const auto dns = d.FindMember("dns"); dns != d.MemberEnd()) {
+    if (!dns->value.IsObject()) throw ConfigError("mysql.dns: not an object");
+    c.zone_updates = need_text(dns->value, "listen");
+    if (!wire::is_loopback(c.zone_updates)) throw ConfigError("mysql.dns.listen: not a loopback address");
+    std::string error;
+    if (!wire::dns::parse_zone(read_file(need_text(dns->value, "zone_file").c_str()),
+                               need_text(dns->value, "origin"), c.zone, error))
+      throw ConfigError("mysql.dns.zone_file: " + error);
+    c.known = wire::dns::members_of(c.zone, 1);
+    c.discovery.clear();
+  }
   read_service(d, platform.settings.seed + 1, "mysql.", c);
   return c;
 }
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "memory/broker.h"
+#include "wire/dns.h"
 
 namespace cedarring::app {
 
@@ -18,6 +19,8 @@
 /// One front: where it listens, and the hosts behind it.
 struct ServiceConfig {
   std::string listen, discovery;
+  std::string zone_updates;  // where dynamic updates of the zone are taken; empty: there is no zone
+  wire::dns::Zone zone;
   memory::MemberList known;
   Settings settings;
   std::vector<memory::Budget> budgets;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -27,11 +27,13 @@
 }  // namespace
 
 Gateway::Gateway(ev::loop_ref loop, const Config& c)
-    : loop_(loop), reaper_(loop), term_(loop), int_(loop), drain_(loop), check_(loop) {
+    : loop_(loop), reaper_(loop), term_(loop), int_(loop), usr1_(loop), drain_(loop), check_(loop) {
   term_.set<Gateway, &Gateway::stop>(this);
   int_.set<Gateway, &Gateway::stop>(this);
   term_.start(SIGTERM);
   int_.start(SIGINT);
+  usr1_.set<Gateway, &Gateway::told>(this);
+  usr1_.start(SIGUSR1);
   drain_.set<Gateway, &Gateway::drain>(this);
   check_.set<Gateway, &Gateway::check_empty>(this);
   const auto clock = [this] { return clock_.now(); };
@@ -45,9 +47,21 @@
 
 void Gateway::run() {
   static constexpr const char* fronts[] = {"postgresql", "mysql"};
-  for (std::size_t i = 0; i < services_.size(); ++i)
+  for (std::size_t i = 0; i < services_.size(); ++i) {
+    if (const auto zone = services_[i]->zone_address(); !zone.empty())
+      std::cout << "listening dns " << zone << std::endl;
     std::cout << "listening " << fronts[i] << ' ' << services_[i]->address() << std::endl;
+  }
   loop_.run(0);
+  report();
+}
+
+/// One line a tenant: what it asked for at this gateway, how much of that beyond its share, and how it ended.
+void Gateway::report() const {
+  for (const auto& s : services_)
+    for (const auto& b : s->budgets())
+      std::cout << "tenant " << b.tenant << " asked " << b.asked << " over " << b.over << " served "
+                << b.served << " refused " << b.refused << " failed " << b.failed << std::endl;
 }
 
 bool Gateway::empty() const {
@@ -67,7 +81,7 @@
 }
 
 /// Once draining, ends as soon as the last client has its answer and has left.
-void Gateway::check_empty(ev::check&, int) {
+void Gateway::check_empty(ev::prepare&, int) {
   if (empty()) loop_.break_loop(ev::ALL);
 }
 
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -21,16 +21,18 @@
  private:
   void stop(ev::sig&, int);
   void drain(ev::timer&, int);
-  void check_empty(ev::check&, int);
+  void told(ev::sig&, int) { report(); }
+  void report() const;
+  void check_empty(ev::prepare&, int);
   [[nodiscard]] bool empty() const;
 
   ev::loop_ref loop_;
   UnixClock clock_;
   wire::Reaper reaper_;
   std::vector<std::unique_ptr<Service>> services_;
-  ev::sig term_, int_;
+  ev::sig term_, int_, usr1_;
   ev::timer drain_;
-  ev::check check_;
+  ev::prepare check_;
 };
 
 }  // namespace cedarring::app
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -15,12 +15,15 @@
         loop, reaper, c.discovery, c.known.version,
         wire::DiscoveryWatch::Events{[this](const memory::MemberList& list) { broker_.listed(list); },
                                      [this] { broker_.list_failed(); }});
+  if (!c.zone_updates.empty())
+    zone_.emplace(loop, c.zone_updates, c.zone,
+                  [this](const memory::MemberList& list) { broker_.listed(list); });
   broker_.start(known_);
 }
 
 void Service::watch() {
   if (discovery_) return discovery_->start();
-  auto list = known_;
+  auto list = zone_ ? zone_->list() : known_;
   list.full = true;
   broker_.listed(list);
 }
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -8,6 +8,7 @@
 #include "wire/client.h"
 #include "wire/discovery.h"
 #include "wire/upstream.h"
+#include "wire/zone_source.h"
 
 namespace cedarring::app {
 
@@ -20,7 +21,10 @@
   Service(ev::loop_ref loop, wire::Reaper& reaper, memory::Broker::Clock clock, const ServiceConfig& config,
           const Parts& parts, std::size_t descriptors);
   void drain() { clients_.drain(); }
+  /// Where updates of the zone are taken; empty without one.
+  [[nodiscard]] std::string zone_address() const { return zone_ ? zone_->address() : std::string(); }
   [[nodiscard]] std::string address() const { return clients_.address(); }
+  [[nodiscard]] const std::vector<memory::Budget>& budgets() const { return broker_.budgets(); }
   [[nodiscard]] bool empty() const { return clients_.empty(); }
 
  private:
@@ -28,7 +32,9 @@
   memory::MemberList known_;
   wire::SocketUpstream upstream_;
   memory::Broker broker_;
-  std::optional<wire::DiscoveryWatch> discovery_;  // absent: the known list is all there is
+  // Without either of these the known list is all there is.
+  std::optional<wire::DiscoveryWatch> discovery_;
+  std::optional<wire::ZoneSource> zone_;
   wire::ClientSet clients_;
 };
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,6 +50,7 @@
     2;  // replicas probed for a read that finds none recent enough, where only probes tell
 constexpr double probe_load = 0.01;    // urgent probes of all routers: so many in a typical latency
 constexpr double probe_points = 0.01;  // probing may cost about this much of the result
+constexpr double hold_share = 0.45;    // of its time that a request may wait unsent, where holding costs
 constexpr double forget_aims = 60;     // longest aims after which a session's last write becomes the floor
 
 }  // namespace
@@ -609,7 +610,7 @@
     std::vector<bool> stuck(s_.classes.size(), false);
     for (const auto& [v, cls, age, w] : order) {
       Request& r = requests_.at(w);
-      const bool late = now_ > last_send(r) || now_ >= r.deadline;
+      const bool late = now_ > last_send(r) || now_ >= r.deadline || held_long(r);
       const bool session = s_.classes[r.cls.value].freshness == Freshness::session;
       drew_ = false;
       Host* to = late || stuck[r.cls.value] ? nullptr : choose(r);
@@ -625,6 +626,13 @@
     g.waiting = std::move(left);
   }
 
+  /// Where holding costs, what found no host by then is refused while its client can still try elsewhere. Harm:
+  /// a request that a host would have taken in the rest of its time is refused.
+  bool held_long(const Request& r) const {
+    return s_.holding_costs && r.attempts.empty() &&
+           now_ - r.arrived >= scale(r.deadline - r.arrived, hold_share);
+  }
+
   bool still_possible(const Request& r) const {
     const auto& c = s_.classes[r.cls.value];
     return c.effect != Effect::keyed || r.maybe_ran == forever || now_ - r.maybe_ran < c.window;
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -34,6 +34,11 @@
   r.front = &front;
   r.work = ask.work;
   r.deadline = now + ask.time_left;
+  if (budget != budgets_.end()) {
+    r.budget = &*budget;
+    ++budget->asked;
+    if (!budget->draw(now)) ++budget->over;
+  }
   RequestArrived event;
   event.request = id;
   event.cls = ClassId{static_cast<std::int32_t>(contract - contracts_.begin())};
@@ -82,10 +87,17 @@
   event.report = result.report;
   r.why = result.outcome;
   r.message = std::move(result.message);
-  if (result.outcome == Outcome::ok) end(key.request, {End::served, {}, std::move(result.value), {}, {}});
+  // What a host has served ends the request: the router learns of both at once, then the client gets it.
+  Front* front = nullptr;
+  if (result.outcome == Outcome::ok && !r.ended) {
+    front = std::exchange(r.front, nullptr);
+    r.ended = true;
+    count(r, End::served);
+  }
   event.request_ended = r.ended;
   feed(event);
   settle(key.request);
+  if (front) front->finish(key.request, {End::served, {}, std::move(result.value), {}, {}});
 }
 
 void Broker::probe_ended(HostId host, Outcome outcome, Duration elapsed, const Report& report) {
@@ -95,7 +107,8 @@
 void Broker::listed(const MemberList& list) {
   feed(MembersListed{list.full ? ListKind::full : ListKind::delta, hosts_.take(list)});
   for (const auto host : hosts_.closed()) upstream_.closed(host);
-  hosts_.prune([this](HostId id) { return router_.knows(id); });
+  // While the router is being fed it has not seen this list yet: it would seem to know none of the new hosts.
+  if (!feeding_) hosts_.prune([this](HostId id) { return router_.knows(id); });
 }
 
 void Broker::list_failed() { feed(MembersListed{ListKind::failed, {}}); }
@@ -160,10 +173,25 @@
   const auto it = requests_.find(id.value);
   if (it == requests_.end() || it->second.ended) return;
   it->second.ended = true;
+  count(it->second, answer.end);
   if (answer.end == End::failed) answer.message = std::move(it->second.message), answer.why = it->second.why;
   if (auto* front = std::exchange(it->second.front, nullptr)) front->finish(id, std::move(answer));
 }
 
+void Broker::count(const Request& r, End end) {
+  if (!r.budget) return;
+  ++(end == End::served ? r.budget->served : end == End::refused ? r.budget->refused : r.budget->failed);
+}
+
+bool Budget::draw(Time now) {
+  const double passed = static_cast<double>((now - at).count()) / 1e6;
+  left = at == Time{} ? per_second : std::min(per_second, left + passed * per_second);
+  at = now;
+  if (left < 1) return false;
+  left -= 1;
+  return true;
+}
+
 void Broker::settle(RequestId id) {
   const auto it = requests_.find(id.value);
   if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -75,10 +75,16 @@
   virtual void closed(HostId host) = 0;
 };
 
-/// A tenant's share of the service, in requests a second over all gateways.
+/// A tenant's share of the service, and what it has made of it at this gateway. It is kept, not enforced:
+/// what to give up in overload is the router's to decide.
 struct Budget {
   std::string tenant;
-  double per_second = 0;
+  double per_second = 0;                                                   // this gateway's part of the share
+  std::uint64_t asked = 0, over = 0, served = 0, refused = 0, failed = 0;  // over: asked beyond the share
+  double left = 0;
+  Time at{};
+  /// Takes one request off the share, a second's worth of which is saved; false beyond it.
+  bool draw(Time now);
 };
 
 enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, overfull };
@@ -100,7 +106,7 @@
   void timer_fired();
 
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
-  [[nodiscard]] const HostTable& hosts() const { return hosts_; }
+  [[nodiscard]] const std::vector<Budget>& budgets() const { return budgets_; }
 
  private:
   struct Attempt {
@@ -111,6 +117,7 @@
   struct Request {
     Front* front = nullptr;
     std::shared_ptr<const Work> work;
+    Budget* budget = nullptr;
     Time deadline{};
     std::vector<Attempt> attempts;
     std::string message;  // what the last host said, for a failure
@@ -124,6 +131,7 @@
   void send(const Send& send, Time now);
   void end(RequestId id, FinalAnswer answer);
   void settle(RequestId id);
+  static void count(const Request& r, End end);
 
   std::vector<std::string> contracts_;
   std::vector<Budget> budgets_;
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -88,6 +88,26 @@
   return fd;
 }
 
+Fd bind_datagram(const std::string& address) {
+  sockaddr_in at;
+  if (!parse_address(address, at)) {
+    errno = EINVAL;
+    return Fd();
+  }
+  Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (fd.get() >= 0 && ::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
+    const int error = errno;
+    fd.reset();
+    errno = error;
+  }
+  return fd;
+}
+
+bool is_loopback(const std::string& address) {
+  sockaddr_in at;
+  return parse_address(address, at) && ntohl(at.sin_addr.s_addr) >> 24U == 127;
+}
+
 std::string bound_address(const Fd& listener) {
   sockaddr_in at{};
   socklen_t size = sizeof at;
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -32,6 +32,10 @@
 Fd connect_to(const std::string& address);
 /// Listens there and nowhere else.
 Fd listen_on(const std::string& address);
+/// A datagram socket there.
+Fd bind_datagram(const std::string& address);
+/// Whether nobody but this machine can reach it.
+bool is_loopback(const std::string& address);
 /// Where a listener really is, for port 0.
 std::string bound_address(const Fd& listener);
 /// The next connection waiting, -1 with errno if there is none.
--- a/src/wire/mysql_client.cpp
+++ b/src/wire/mysql_client.cpp
@@ -25,7 +25,7 @@
       continue;
     }
     const auto c = static_cast<unsigned char>(sql[i]);
-    if (std::isalnum(c) != 0 || c == '_' || c == '@') words.back() += static_cast<char>(std::toupper(c));
+    if (std::isalnum(c) != 0 || c == '_') words.back() += static_cast<char>(std::toupper(c));
     else if (!words.back().empty()) words.emplace_back();
   }
   words.resize(std::max(words.size(), most));
@@ -161,9 +161,10 @@
     return error(1064, "42000", "You have an error in your SQL syntax: unclosed quote or comment"), false;
   if (shape.several)
     return error(1235, "42000", "This gateway doesn't yet support 'multi-statements'"), false;
-  const auto w = words_of(sql, 3);
-  const bool autocommit_off = w[0] == "SET" && (w[1] == "AUTOCOMMIT" || w[2] == "AUTOCOMMIT") &&
-                              sql.find('0') != std::string_view::npos;
+  const auto w = words_of(sql, 4);
+  const auto set = std::find(w.begin(), w.end(), "AUTOCOMMIT");
+  const bool autocommit_off = w[0] == "SET" && set != w.end() && set + 1 != w.end() && *(set + 1) != "1" &&
+                              *(set + 1) != "ON" && *(set + 1) != "TRUE" && *(set + 1) != "DEFAULT";
   const bool transaction = w[0] == "BEGIN" || w[0] == "COMMIT" || w[0] == "ROLLBACK" || w[0] == "SAVEPOINT" ||
                            w[0] == "RELEASE" || w[0] == "XA" || w[0] == "LOCK" || w[0] == "UNLOCK" ||
                            (w[0] == "START" && w[1] == "TRANSACTION") || autocommit_off;
--- a/src/wire/mysql_host.cpp
+++ b/src/wire/mysql_host.cpp
@@ -17,15 +17,18 @@
 bool is_ok(std::string_view p) { return !p.empty() && p[0] == '\0'; }
 bool is_error(std::string_view p) { return !p.empty() && p[0] == '\xff'; }
 
-/// The parameters with our own deadline in place of the client's.
+/// The parameters with our own deadline in place of the client's. A prepared statement's comment cannot be
+/// changed any more, so there it becomes an attribute.
 std::vector<Parameter> with_own_deadline(const MysqlWork& work, std::int64_t ms) {
   auto all = work.parameters;
-  for (std::size_t i = work.placeholders; i < all.size(); ++i) {
-    if (all[i].name != "d") continue;
-    all[i].type = 0xfd;
-    all[i].value.clear();
-    put_lenenc_text(all[i].value, std::to_string(ms));
-  }
+  auto d = std::find_if(all.begin() + static_cast<std::ptrdiff_t>(work.placeholders), all.end(),
+                        [](const Parameter& p) { return p.name == "d"; });
+  if (d == all.end() && !work.prepared) return all;
+  if (d == all.end()) d = all.insert(all.end(), Parameter{0, "d", false, ""});
+  d->type = 0xfd;
+  d->null = false;
+  d->value.clear();
+  put_lenenc_text(d->value, std::to_string(ms));
   return all;
 }
 
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -81,6 +81,13 @@
   if (!closed()) close();
 }
 
+void HostConnection::withdraw() {
+  if (!job_ || submitted_) return;
+  AttemptResult result;
+  result.outcome = Outcome::moot;
+  finish(std::move(result), false);
+}
+
 void HostConnection::broken() {
   if (!closed()) close();
   on_end(EPROTO);
@@ -181,6 +188,11 @@
 
 void SocketUpstream::closed(HostId host) {
   for (auto* idle : pool_.drop(host)) drop(idle);
+  // A slow connect or prepare must not put a request on the host long after we were told.
+  std::vector<HostConnection*> mine;
+  for (const auto& [key, connection] : connections_)
+    if (connection->host() == host) mine.push_back(connection.get());
+  for (auto* connection : mine) connection->withdraw();
 }
 
 void SocketUpstream::wake_at(Time due) {
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -30,6 +30,8 @@
   void run(Job job);
   /// Closes without a word to the owner.
   void give_up();
+  /// Ends a job whose request has not been written yet: its host has been told draining or gone.
+  void withdraw();
   [[nodiscard]] HostId host() const { return host_; }
 
  protected:
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -65,7 +65,7 @@
   Broker broker;
   Bench()
       : broker(
-            settings(), {{"acme", 10}}, {"a"}, [this] { return now; }, upstream, 50) {
+            settings(), {budget()}, {"a"}, [this] { return now; }, upstream, 50) {
     upstream.broker = &broker;
     MemberList list;
     list.full = true;
@@ -73,6 +73,12 @@
       list.members.push_back({id, id, "a", GroupId{1}, HostState::ready, 1, id[0] == 'p', {}});
     broker.start(list);
   }
+  static Budget budget() {
+    Budget b;
+    b.tenant = "acme";
+    b.per_second = 10;
+    return b;
+  }
   static Settings settings() {
     Settings s;
     for (const auto& [name, effect, freshness] : {std::tuple{"history", Effect::safe, Freshness::any},
@@ -82,6 +88,7 @@
       c.name = name;
       c.aim = 300ms;
       c.deadline = 2s;
+      c.late_worth = 0.5;
       c.effect = effect;
       c.freshness = freshness;
       c.scope = RepeatScope::group;
@@ -95,6 +102,7 @@
     s.max_attempts = 6;
     s.may_probe = false;
     s.discovery = DiscoveryMode::ask;
+    s.holding_costs = true;
     return s;
   }
   RequestId ask(const std::string& contract, Rejection expected = Rejection::none,
@@ -179,6 +187,22 @@
   EXPECT_EQ(b.front.count, 0);
 }
 
+TEST(Broker, WhatFindsNoHostIsRefusedBeforeHalfItsTime) {
+  Bench b;
+  MemberList list;
+  list.full = true;
+  list.members.push_back({"q", "q", "a", GroupId{1}, HostState::ready, 1, false, {}});
+  b.broker.listed(list);  // no primary any more
+  const auto start = b.now;
+  const auto id = b.ask("pay");
+  b.run_until(start + 300ms);
+  EXPECT_EQ(b.front.count, 0);  // there is time yet for a primary to appear
+  b.run_until(start + 500ms);
+  ASSERT_EQ(b.front.count, 1);
+  EXPECT_EQ(b.front.answers.at(id.value).end, End::refused);
+  EXPECT_GT(b.front.answers.at(id.value).pause, Duration::zero());
+}
+
 TEST(Broker, WhatIsUnknownIsRejected) {
   Bench b;
   b.ask("nothing", Rejection::unknown_contract);
@@ -188,6 +212,17 @@
   b.ask("pay", Rejection::overfull);
 }
 
+TEST(Broker, ABudgetTellsWhatCameBeyondIt) {
+  Bench b;
+  b.upstream.at_once = Outcome::ok;
+  for (int i = 0; i < 25; ++i) b.ask("history");
+  EXPECT_EQ(b.broker.budgets()[0].over, 15U);
+  b.now += 500ms;
+  for (int i = 0; i < 10; ++i) b.ask("history");
+  EXPECT_EQ(b.broker.budgets()[0].over, 20U);
+  EXPECT_EQ(b.broker.budgets()[0].served, 35U);
+}
+
 TEST(Broker, AFailedListIsAskedForAgain) {
   Bench b;
   b.run_until(b.now + 2s);
--- a/tests/mysql_test.cpp
+++ b/tests/mysql_test.cpp
@@ -133,15 +133,17 @@
   };
   for (const auto& [sql, code, state] :
        {Case{"BEGIN", 1235, "42000"}, Case{"START TRANSACTION", 1235, "42000"}, Case{"COMMIT", 1235, "42000"},
-        Case{"SET autocommit=0", 1235, "42000"}, Case{"SELECT 1; SELECT 2", 1235, "42000"},
-        Case{"SELECT 'open", 1064, "42000"}, Case{"/* nothing */", 1065, "42000"},
-        Case{"SELECT 1", 1210, "HY000"}, Case{"SELECT 1 /* c=nothing,t=acme,d=9,cluster=1 */", 1210, "HY000"},
+        Case{"SET autocommit=0", 1235, "42000"}, Case{"SET @@session.autocommit = OFF", 1235, "42000"},
+        Case{"SELECT 1; SELECT 2", 1235, "42000"}, Case{"SELECT 'open", 1064, "42000"},
+        Case{"/* nothing */", 1065, "42000"}, Case{"SELECT 1", 1210, "HY000"},
+        Case{"SELECT 1 /* c=nothing,t=acme,d=9,cluster=1 */", 1210, "HY000"},
         Case{"SELECT 1 /* c=view,t=acme,d=9,cluster=9 */", 1049, "42000"}}) {
     EXPECT_NE(mysql_query(c, sql), 0) << sql;
     EXPECT_EQ(mysql_errno(c), code) << sql;
     EXPECT_STREQ(mysql_sqlstate(c), state) << sql;
   }
-  EXPECT_EQ(mysql_query(c, "SET NAMES utf8mb4"), 0);
+  for (const auto* good : {"SET NAMES utf8mb4", "SET autocommit=1", "SET SESSION autocommit = ON"})
+    EXPECT_EQ(mysql_query(c, good), 0) << good;
   Prepared cursor(c, statement("e1", "history"));
   const unsigned long type = CURSOR_TYPE_READ_ONLY;
   mysql_stmt_attr_set(cursor.get(), STMT_ATTR_CURSOR_TYPE, &type);
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -1,6 +1,7 @@
 #include "support/stand_in.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
@@ -30,6 +31,14 @@
   return Socket(std::move(fd));
 }
 
+bool Socket::connect(const std::string& address) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  to.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + address.rfind(':') + 1)));
+  return ::connect(fd_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0;
+}
+
 bool Socket::send(std::string_view bytes) {
   while (!bytes.empty()) {
     const auto n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -381,9 +390,10 @@
   }
   ::close(ends[1]);
   std::string line;
-  for (int i = mysql.empty() ? 1 : 2; i > 0 && read_line(line); --i) {
+  while ((mysql.empty() ? pg_ : mysql_).empty() && read_line(line)) {
     const auto at = line.rfind(' ');
     if (line.rfind("listening postgresql", 0) == 0) pg_ = line.substr(at + 1);
+    if (line.rfind("listening dns", 0) == 0) dns_ = line.substr(at + 1);
     if (line.rfind("listening mysql", 0) == 0) mysql_ = line.substr(at + 1);
   }
 }
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -29,6 +29,7 @@
  public:
   explicit Socket(wire::Fd fd);
   static Socket to(const std::string& address);
+  bool connect(const std::string& address);  // of a datagram socket
   bool send(std::string_view bytes);
   /// Exactly n bytes; nothing at the end of the stream.
   std::optional<std::string> read(std::size_t n);
@@ -131,13 +132,14 @@
   ~Program();
   [[nodiscard]] const std::string& pg() const { return pg_; }
   [[nodiscard]] const std::string& mysql() const { return mysql_; }
+  [[nodiscard]] const std::string& dns() const { return dns_; }
   [[nodiscard]] const std::string& output() const { return output_; }
   void signal(int number) const;
   int wait_exit();
 
  private:
   bool read_line(std::string& line);
-  std::string dir_, pg_, mysql_, output_;
+  std::string dir_, pg_, mysql_, dns_, output_;
   wire::Fd out_;
   int pid_ = -1;
   std::optional<int> status_;
