--- a/src/wire/dns.cpp
+++ b/src/wire/dns.cpp
@@ -172,7 +172,7 @@
       if (c != '\n') continue;
       ++number;
       if (depth > 0 && i < text.size()) continue;
-      if (depth > 0) return false;
+      if (depth > 0) return number = line.number, false;  // where it was opened
       if (!line.tokens.empty()) lines.push_back(std::move(line));
       line = {};
       line.number = number;
--- a/tests/dns_test.cpp
+++ b/tests/dns_test.cpp
@@ -78,7 +78,7 @@
   for (const auto& c :
        {Case{"@ NS ns\n", "no SOA record"}, Case{head + "a A 127.0.0.256\n", "line 4"},
         Case{head + "a SRV 0 0 70000 b\n", "line 4"}, Case{head + "a TXT \"open\n", "line 4"},
-        Case{head + "a A ( 127.0.0.1\n", "line 5"}, Case{head + "a A 127.0.0.1 )\n", "line 4"},
+        Case{head + "a A ( 127.0.0.1\n", "line 4"}, Case{head + "a A 127.0.0.1 )\n", "line 4"},
         Case{head + "$INCLUDE other\n", "line 4"}, Case{head + "a.elsewhere. A 127.0.0.1\n", "line 4"},
         Case{head + "a..b A 127.0.0.1\n", "line 4"},
         Case{head + std::string(64, 'a') + " A 127.0.0.1\n", "line 4"}, Case{head + "a\n", "line 4"},
@@ -135,7 +135,7 @@
     EXPECT_EQ(changed, c.changed) << c.why;
     const auto serial = zone.records[0].data.substr(zone.records[0].data.size() - 20, 4);
     EXPECT_EQ(serial, changed ? "\0\0\0\x08"s : "\0\0\0\7"s) << c.why;
-    if (!changed) EXPECT_EQ(zone.records.size(), before) << c.why;
+    EXPECT_TRUE(changed || zone.records.size() == before) << c.why;
   }
   auto zone = zone_of(text);
   bool changed = false;
