Bound a client's statements, count only written attempts as reached, keep-alive on clients

At fault: held_long() asked for no attempts at all; now for none written. Also bounded: the statements and long data of a MySQL client, the statements prepared on a host connection; a client whose machine vanished loses its place by keep-alive.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -629,7 +629,7 @@
   /// Where holding costs, what found no host by then is refused while its client can still try elsewhere. Harm:
   /// a request that a host would have taken in the rest of its time is refused.
   bool held_long(const Request& r) const {
-    return s_.holding_costs && r.attempts.empty() &&
+    return s_.holding_costs && !r.reached &&
            now_ - r.arrived >= scale(r.deadline - r.arrived, hold_share);
   }
 
@@ -684,6 +684,7 @@
                      e.outcome == Outcome::cancelled;
     if (ran && a.sent < r.maybe_ran) r.maybe_ran = a.sent, r.maybe_host = a.host;
     if (e.outcome == Outcome::miss) r.missed = true;
+    r.reached = r.reached || (e.outcome != Outcome::connect_failed && e.outcome != Outcome::moot);
     if (e.outcome == Outcome::ok && s_.classes[r.cls.value].freshness == Freshness::write) {
       // Without a commit in the answer the present is the only safe bound.
       if (r.session) {
--- a/src/state.h
+++ b/src/state.h
@@ -90,6 +90,7 @@
   int out = 0;
   bool waiting = false;
   bool started = false;  // its answer is being streamed
+  bool reached = false;  // an attempt was written to a host
   bool ended = false;
   bool missed = false;       // a replica turned the read away as too old
   Time maybe_ran = forever;  // earliest send that may have run
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -119,7 +119,14 @@
 
 Fd accept_from(int listener) {
   Fd fd(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  if (fd.get() >= 0) no_delay(fd.get());
+  if (fd.get() < 0) return fd;
+  no_delay(fd.get());
+  // A client whose machine vanished says nothing: its place must not be lost for good.
+  const int on = 1, idle = 60, interval = 10, count = 3;
+  setsockopt(fd.get(), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd.get(), IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt(fd.get(), IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt(fd.get(), IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
   return fd;
 }
 
--- a/src/wire/mysql_client.cpp
+++ b/src/wire/mysql_client.cpp
@@ -12,7 +12,8 @@
                                            protocol_41 | transactions | secure_connection | ps_multi_results |
                                            plugin_auth | connect_attrs | plugin_auth_lenenc | session_track |
                                            deprecate_eof | query_attributes;
-constexpr std::size_t statements_most = 256;  // of one client
+constexpr std::size_t statements_most = 256;               // of one client
+constexpr std::size_t held_most = mysql_message_most * 2;  // bytes of its statements and long data
 
 /// The statement's words in capitals, without comments before them: as many as tell what it is.
 std::vector<std::string> words_of(std::string_view sql, std::size_t most) {
@@ -117,6 +118,19 @@
   ok();
 }
 
+void MysqlClient::Statement::drop_long_data() {
+  long_data.assign(placeholders, std::nullopt);
+  long_bytes = 0;
+  overlong = false;
+}
+
+/// Of all its statements: one client must not take the memory of the others.
+std::size_t MysqlClient::held_bytes() const {
+  std::size_t sum = 0;
+  for (const auto& [id, s] : statements_) sum += s.bytes();
+  return sum;
+}
+
 void MysqlClient::command(std::string_view payload) {
   if (payload.empty()) return fatal(1835, "HY000", "Malformed communication packet");
   const auto body = payload.substr(1);
@@ -136,9 +150,7 @@
     case com_stmt_reset: {
       auto* s = statement(static_cast<std::uint32_t>(in.fixed(4)));
       if (!s) return;
-      s->long_data.assign(s->placeholders, std::nullopt);
-      s->long_bytes = 0;
-      s->overlong = false;
+      s->drop_long_data();
       return ok();
     }
     case com_stmt_fetch: return error(1235, "42000", "This gateway doesn't yet support 'cursors'");
@@ -189,7 +201,7 @@
 void MysqlClient::prepare(std::string_view sql) {
   if (words_of(sql, 1)[0].empty()) return error(1065, "42000", "Query was empty");
   if (!supported(sql)) return;
-  if (statements_.size() >= statements_most)
+  if (statements_.size() >= statements_most || held_bytes() + sql.size() > held_most)
     return error(1461, "42000", "Can't create more than max_prepared_stmt_count statements");
   const auto id = next_statement_++;
   auto& s = statements_[id];
@@ -229,7 +241,7 @@
   const auto parameter = in.fixed(2);
   if (!in.ok() || it == statements_.end()) return;
   auto& s = it->second;
-  if (parameter >= s.placeholders || s.long_bytes + in.rest().size() > mysql_message_most / 2) {
+  if (parameter >= s.placeholders || held_bytes() + in.rest().size() > held_most) {
     s.overlong = true;
     return;
   }
@@ -250,8 +262,7 @@
   if ((e.flags & 7U) != 0) return error(1235, "42000", "This gateway doesn't yet support 'cursors'");
   s->types = e.parameters;
   for (auto& t : s->types) t.value.clear();
-  s->long_data.assign(s->placeholders, std::nullopt);
-  s->long_bytes = 0;
+  s->drop_long_data();
   auto work = std::make_shared<MysqlWork>();
   work->prepared = true;
   work->sql = s->sql;
--- a/src/wire/mysql_client.h
+++ b/src/wire/mysql_client.h
@@ -25,6 +25,8 @@
     std::vector<std::optional<std::string>> long_data;  // by parameter
     std::size_t long_bytes = 0;
     bool overlong = false;
+    [[nodiscard]] std::size_t bytes() const { return sql.size() + long_bytes; }
+    void drop_long_data();
   };
   bool take_one() override;
   void put_answer(memory::FinalAnswer answer, std::string& out) override;
@@ -37,6 +39,7 @@
   void submit(std::shared_ptr<MysqlWork> work);
   bool supported(std::string_view sql);
   Statement* statement(std::uint32_t id);
+  [[nodiscard]] std::size_t held_bytes() const;
   void ok();
   void error(std::uint16_t code, std::string_view state, const std::string& message);
   void fatal(std::uint16_t code, std::string_view state, const std::string& message);
--- a/src/wire/mysql_host.cpp
+++ b/src/wire/mysql_host.cpp
@@ -1,6 +1,7 @@
 #include "wire/mysql_host.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "sim/adapter.h"
 
@@ -12,7 +13,8 @@
 constexpr std::uint32_t needed = protocol_41 | session_track | deprecate_eof | query_attributes;
 constexpr std::uint32_t wanted =
     needed | long_password | long_flag | connect_with_db | transactions | secure_connection | plugin_auth;
-constexpr std::size_t statements_most = 64;  // kept prepared on one connection
+constexpr std::size_t statements_most = 64;  // kept prepared on one connection, and so many bytes of them
+constexpr std::size_t held_most = mysql_message_most + 64 * 1024;
 
 bool is_ok(std::string_view p) { return !p.empty() && p[0] == '\0'; }
 bool is_error(std::string_view p) { return !p.empty() && p[0] == '\xff'; }
@@ -139,7 +141,11 @@
   // Another number of parameters than we counted: what we would send then would be read as something else.
   if (!in.ok() || parameters != work().placeholders) return false;
   statements_.push_front({work().sql, preparing_});
-  if (statements_.size() > statements_most) {
+  const auto held = [this] {
+    return std::accumulate(statements_.begin(), statements_.end(), std::size_t{0},
+                           [](std::size_t sum, const Prepared& p) { return sum + p.sql.size(); });
+  };
+  while (statements_.size() > statements_most || held() > held_most) {
     std::string close(1, static_cast<char>(com_stmt_close));
     put_fixed(close, statements_.back().id, 4);
     statements_.pop_back();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -17,12 +17,15 @@
   std::vector<std::string> members;
   std::unique_ptr<Discovery> discovery;
   std::unique_ptr<Program> program;
-  explicit Fleet(std::int64_t right_started = 0) {
+  explicit Fleet(std::int64_t right_started = 0, const std::string& connect_timeout = "1000") {
     primary.primary = true;
     members = {member("p", primary.address(), true), member("l", left.address(), false),
                member("r", right.address(), false, "SERVING", right_started)};
     discovery = std::make_unique<Discovery>(list_of(1, members));
-    program = std::make_unique<Program>(config_json(discovery->address(), list_of(1, members)));
+    auto config = config_json(discovery->address(), list_of(1, members));
+    const std::string key = "\"connect_timeout\":";
+    config.replace(config.find(key) + key.size(), 4, connect_timeout);
+    program = std::make_unique<Program>(config);
   }
   std::size_t all() { return primary.count() + left.count() + right.count(); }
   void act(Act a) { primary.act = a, left.act = a, right.act = a; }
@@ -100,6 +103,22 @@
   EXPECT_EQ(f.left.count(), told);
 }
 
+TEST(Gateway, ASlowConnectPutsNothingOnAHostThatDrains) {
+  Fleet f(0, "9000");
+  f.left.act = Act::mute, f.right.act = Act::mute;
+  ASSERT_TRUE(f.discovery->wait_watches(1));
+  PgClient c(f.program->pg());
+  const auto start = Clock::now();
+  c.socket.send(pg_query(statement("a1", "history", 9000)));
+  while (f.left.count() + f.right.count() == 0) std::this_thread::sleep_for(5ms);
+  f.discovery->tell(list_of(
+      2,
+      {member("l", f.left.address(), false, "DRAINING"), member("r", f.right.address(), false, "DRAINING")},
+      false));
+  EXPECT_EQ(c.read_answer().value, "from " + f.primary.address());
+  EXPECT_LT(Clock::now() - start, 5s);
+}
+
 TEST(Gateway, AColdHostIsSpared) {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   Fleet f(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -201,6 +201,10 @@
 void PgStandIn::serve(Socket& s) {
   const auto length = s.read(4);
   if (!length || !s.read(static_cast<unsigned char>((*length)[3]) - 4U)) return;
+  if (act == Act::mute) {
+    arrived("startup");
+    return hang(s);
+  }
   const std::string ready = pg_message('Z', "I");
   const auto error = [&](const std::string& code) {
     return pg_message('E', "C" + code + std::string(1, '\0') + "Mstand-in" + std::string(2, '\0')) + ready;
@@ -220,6 +224,7 @@
         s.send(pg_row("from " + address()) + status("recovery", primary ? "off" : "on") +
                status("lsn_ms", now_ms()) + ready);
         break;
+      case Act::mute:
       case Act::hang: return hang(s);
       case Act::reset:
       case Act::reset_once: return s.reset();
@@ -294,6 +299,7 @@
     }
     switch (arrived(attribute_id.empty() ? id_of(sql) : attribute_id)) {
       case Act::serve: rows(row); break;
+      case Act::mute:
       case Act::hang: return hang(s);
       case Act::reset:
       case Act::reset_once: return s.reset();
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -43,7 +43,16 @@
   wire::Fd fd_;
 };
 
-enum class Act { serve, hang, reset, reset_once, full, miss, error };  // reset_once: serves from then on
+enum class Act {
+  serve,
+  mute,
+  hang,
+  reset,
+  reset_once,
+  full,
+  miss,
+  error
+};  // mute: welcomes nobody; reset_once: serves from then on
 
 /// A host that counts what it is asked to run. One thread a connection; all are joined at the end.
 class Host {
