--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -105,17 +105,16 @@
 
 TEST(Gateway, ASlowConnectPutsNothingOnAHostThatDrains) {
   Fleet f(0, "9000");
-  f.left.act = Act::mute, f.right.act = Act::mute;
+  f.primary.act = Act::mute;
   ASSERT_TRUE(f.discovery->wait_watches(1));
   PgClient c(f.program->pg());
   const auto start = Clock::now();
-  c.socket.send(pg_query(statement("a1", "history", 9000)));
-  while (f.left.count() + f.right.count() == 0) std::this_thread::sleep_for(5ms);
+  c.socket.send(pg_query(statement("a1", "pay", 9000)));
+  ASSERT_TRUE(f.primary.wait_for(1));
+  f.left.primary = true;
   f.discovery->tell(list_of(
-      2,
-      {member("l", f.left.address(), false, "DRAINING"), member("r", f.right.address(), false, "DRAINING")},
-      false));
-  EXPECT_EQ(c.read_answer().value, "from " + f.primary.address());
+      2, {member("p", f.primary.address(), false, "DRAINING"), member("l", f.left.address(), true)}, false));
+  EXPECT_EQ(c.read_answer().value, "from " + f.left.address());
   EXPECT_LT(Clock::now() - start, 5s);
 }
 
