A connection that its host has closed is not taken from the pool; buffers bound by memory_mb

Seen by reading: a pooled connection could have its end waiting in the kernel while the loop had not told yet; what is written then counts as a reset, so a write without a key fails. Shown by a host that sends its answer and the end in one segment to ten pipelined writes: several failed without pending(), none with it.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -36,6 +36,7 @@
   usr1_.start(SIGUSR1);
   drain_.set<Gateway, &Gateway::drain>(this);
   check_.set<Gateway, &Gateway::check_empty>(this);
+  wire::RingBuffer::set_bound((c.memory_mb << 20U) / 2);
   const auto clock = [this] { return clock_.now(); };
   const auto descriptors = (c.sockets - spare_descriptors) / (c.mysql ? 2 : 1);
   services_.push_back(std::make_unique<Service>(loop, reaper_, clock, c.platform,
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::size_t read_size = 16384;
-constexpr std::size_t memory_bound = std::size_t{96} << 20U;  // of all ring buffers: half of the machine's
 
 bool parse_address(const std::string& address, sockaddr_in& out) {
   const auto colon = address.rfind(':');
@@ -142,6 +141,12 @@
   fd_.reset();
 }
 
+bool Connection::pending() const {
+  char byte = 0;
+  const auto n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void Connection::broken(int error) {
   close();
   on_end(error);
@@ -177,12 +182,11 @@
 }
 
 void Connection::read_some() {
-  const auto total = RingBuffer::total();
   if (!in_.reserve(read_size)) in_.reserve(1);
   iovec parts[2];
   const int n = in_.free_space(parts);
   if (n == 0) return;
-  if (total > memory_bound) return broken(ENOMEM);
+  if (RingBuffer::total() > RingBuffer::bound()) return broken(ENOMEM);
   const auto got = ::readv(fd_.get(), parts, n);
   if (got > 0) {
     in_.grow(static_cast<std::size_t>(got));
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -48,6 +48,9 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
   [[nodiscard]] bool closed() const { return fd_.get() < 0; }
+  /// Whether something waits to be read, the peer's close too: an idle connection like that is not to be
+  /// used.
+  [[nodiscard]] bool pending() const;
 
  protected:
   virtual void on_open() {}            // the connection has come up
--- a/src/wire/ring_buffer.h
+++ b/src/wire/ring_buffer.h
@@ -22,6 +22,9 @@
   [[nodiscard]] bool empty() const { return size_ == 0; }
   /// Bytes of all ring buffers of the process: what the memory limit is kept by.
   static std::size_t total() { return total_; }
+  /// Past this no connection reads on.
+  static std::size_t bound() { return bound_; }
+  static void set_bound(std::size_t bytes) { bound_ = bytes; }
 
   /// False if the bytes do not fit under the bound: nothing was taken.
   bool append(std::string_view bytes) {
@@ -95,7 +98,7 @@
     capacity_ = capacity;
     head_ = 0;
   }
-  inline static std::size_t total_ = 0;
+  inline static std::size_t total_ = 0, bound_ = std::size_t{96} << 20U;
   std::unique_ptr<char[]> data_;
   std::size_t most_, capacity_ = 0, head_ = 0, size_ = 0;
 };
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -130,6 +130,11 @@
 
 void SocketUpstream::run(HostId host, const std::string& address, Job job) {
   auto* connection = pool_.take(host);
+  // A host that has just closed it: the loop has not told yet, and what is written now would count as run.
+  while (connection && connection->pending()) {
+    drop(connection);
+    connection = pool_.take(host);
+  }
   if (!connection) {
     // At the bound the connection that was idle longest, anywhere, makes room.
     if (connections_.size() >= options_.most)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -118,6 +118,17 @@
   EXPECT_LT(Clock::now() - start, 5s);
 }
 
+TEST(Gateway, AConnectionThatItsHostHasClosedIsNotUsedAgain) {
+  Fleet f;
+  f.primary.act = Act::serve_last;
+  PgClient c(f.program->pg());
+  std::string all;  // in one segment: each is sent on as soon as the one before it is answered
+  for (int i = 0; i < 10; ++i) all += pg_query(statement("a" + std::to_string(i), "pay"));
+  c.socket.send(all);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(c.read_answer().types, "TDCZ");
+  EXPECT_EQ(f.primary.count(), 10U);
+}
+
 TEST(Gateway, AColdHostIsSpared) {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   Fleet f(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -39,12 +39,13 @@
   return ::connect(fd_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0;
 }
 
-bool Socket::send(std::string_view bytes) {
+bool Socket::send(std::string_view bytes, bool last) {
   while (!bytes.empty()) {
-    const auto n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const auto n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | (last ? MSG_MORE : 0));
     if (n <= 0) return false;
     bytes.remove_prefix(static_cast<std::size_t>(n));
   }
+  if (last) ::shutdown(fd_.get(), SHUT_WR);
   return true;
 }
 
@@ -219,11 +220,13 @@
     const auto status = [&](const std::string& name, const std::string& value) {
       return pg_message('S', name + std::string(1, '\0') + value + std::string(1, '\0'));
     };
+    const auto answer = [&] {
+      return pg_row("from " + address()) + status("recovery", primary ? "off" : "on") +
+             status("lsn_ms", now_ms()) + ready;
+    };
     switch (arrived(id_of(sql))) {
-      case Act::serve:
-        s.send(pg_row("from " + address()) + status("recovery", primary ? "off" : "on") +
-               status("lsn_ms", now_ms()) + ready);
-        break;
+      case Act::serve: s.send(answer()); break;
+      case Act::serve_last: s.send(answer(), true); return;
       case Act::mute:
       case Act::hang: return hang(s);
       case Act::reset:
@@ -298,6 +301,7 @@
       continue;
     }
     switch (arrived(attribute_id.empty() ? id_of(sql) : attribute_id)) {
+      case Act::serve_last:
       case Act::serve: rows(row); break;
       case Act::mute:
       case Act::hang: return hang(s);
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -29,8 +29,8 @@
  public:
   explicit Socket(wire::Fd fd);
   static Socket to(const std::string& address);
-  bool connect(const std::string& address);  // of a datagram socket
-  bool send(std::string_view bytes);
+  bool connect(const std::string& address);              // of a datagram socket
+  bool send(std::string_view bytes, bool last = false);  // last: the end comes in the same segment
   /// Exactly n bytes; nothing at the end of the stream.
   std::optional<std::string> read(std::size_t n);
   /// True once the peer has closed or reset.
@@ -43,16 +43,8 @@
   wire::Fd fd_;
 };
 
-enum class Act {
-  serve,
-  mute,
-  hang,
-  reset,
-  reset_once,
-  full,
-  miss,
-  error
-};  // mute: welcomes nobody; reset_once: serves from then on
+// serve_last: and closes; mute: welcomes nobody; reset_once: serves from then on
+enum class Act { serve, serve_last, mute, hang, reset, reset_once, full, miss, error };
 
 /// A host that counts what it is asked to run. One thread a connection; all are joined at the end.
 class Host {
