--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -626,8 +626,8 @@
     g.waiting = std::move(left);
   }
 
-  /// Where holding costs, what found no host by then is refused while its client can still try elsewhere. Harm:
-  /// a request that a host would have taken in the rest of its time is refused.
+  /// Where holding costs, what found no host by then is refused while its client can still try elsewhere.
+  /// Harm: a request that a host would have taken in the rest of its time is refused.
   bool held_long(const Request& r) const {
     return s_.holding_costs && !r.reached &&
            now_ - r.arrived >= scale(r.deadline - r.arrived, hold_share);
