--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -173,6 +173,7 @@
   EXPECT_TRUE(idle.socket.ended());
   EXPECT_EQ(held.read_answer().types, "EZ");
   EXPECT_EQ(f.program->wait_exit(), 0);
+  EXPECT_NE(f.program->output().find("tenant acme asked 2 over 0 served 1"), std::string::npos);
 }
 
 TEST(Gateway, AWatchThatFallsSilentIsAskedForAnew) {
@@ -220,6 +221,28 @@
   EXPECT_EQ(f.all(), 1U);
 }
 
+TEST(Gateway, TooManyClientsAreTurnedAwayAndTheOthersServed) {
+  PgStandIn host;
+  host.primary = true;
+  const auto known = list_of(1, {member("p", host.address(), true)});
+  Discovery discovery(known);
+  auto config = config_json(discovery.address(), known);
+  const std::string limit = "\"sockets\":1024";
+  config.replace(config.find(limit), limit.size(), "\"sockets\":64");  // nine clients, six host connections
+  Program program(config);
+  std::vector<std::unique_ptr<PgClient>> clients;
+  for (int i = 0; i < 9; ++i) clients.push_back(std::make_unique<PgClient>(program.pg()));
+  PgClient tenth(program.pg(), false);
+  EXPECT_EQ(tenth.read_answer().code, "53300");
+  EXPECT_TRUE(tenth.socket.ended());
+  for (auto& c : clients) EXPECT_EQ(c->query(statement("a1", "pay")).types, "TDCZ");
+  clients.pop_back();
+  std::unique_ptr<PgClient> next;  // its place is free once the gateway has seen it leave
+  for (int i = 0; i < 200 && !(next && next->query("").types == "IZ"); ++i)
+    next = std::make_unique<PgClient>(program.pg());
+  EXPECT_EQ(next->query(statement("a2", "pay")).types, "TDCZ");
+}
+
 TEST(Gateway, ABadConfigurationIsOneLineThatNamesTheKey) {
   const auto good = config_json("127.0.0.1:1", list_of(1, {}));
   const auto with = [&](const std::string& from, const std::string& to) {
