Accept the platform's memory limits from 32 MB on: the program ended at its start

Each node's log holds one line, "limits.memory_mb: out of range". Ruled out: sockets (256 passes that floor), discovery and the settings, which are read after the limits. Now each limit has its own floor: 16 MB, 64 descriptors. The test starts the program with 32 MB and 256 descriptors; without the change it exits.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -79,12 +79,13 @@
   return budgets;
 }
 
-std::size_t limit(const Json& root, const char* key, std::size_t fallback) {
+/// Each limit has its own least: the platform hands out 32 MB, and a floor meant for descriptors must not end us.
+std::size_t limit(const Json& root, const char* key, double least, std::size_t fallback) {
   const auto limits = root.FindMember("limits");
   if (limits == root.MemberEnd() || !limits->value.IsObject()) return fallback;
   const auto it = limits->value.FindMember(key);
   if (it == limits->value.MemberEnd()) return fallback;
-  if (!it->value.IsNumber() || it->value.GetDouble() < 64 || it->value.GetDouble() > 1e6)
+  if (!it->value.IsNumber() || it->value.GetDouble() < least || it->value.GetDouble() > 1e6)
     throw ConfigError("limits." + std::string(key) + ": out of range");
   return static_cast<std::size_t>(it->value.GetDouble());
 }
@@ -154,8 +155,8 @@
   c.name = need_text(d, "name");
   c.platform.listen = need_text(d, "listen");
   c.platform.discovery = need_text(d, "discovery");
-  c.memory_mb = limit(d, "memory_mb", c.memory_mb);
-  c.sockets = limit(d, "sockets", c.sockets);
+  c.memory_mb = limit(d, "memory_mb", 16, c.memory_mb);
+  c.sockets = limit(d, "sockets", 64, c.sockets);
   need(d, "settings");
   read_service(d, read_seed(d), "", c.platform);
   return c;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -243,6 +243,14 @@
   EXPECT_EQ(next->query(statement("a2", "pay")).types, "TDCZ");
 }
 
+TEST(Gateway, StartsUnderTheLeastLimitsOfThePlatform) {
+  auto config = config_json("127.0.0.1:1", list_of(1, {}));
+  const std::string limits = "\"memory_mb\":192,\"sockets\":1024";
+  config.replace(config.find(limits), limits.size(), "\"memory_mb\":32,\"sockets\":256");
+  Program program(config);
+  EXPECT_EQ(PgClient(program.pg()).query("").types, "IZ");
+}
+
 TEST(Gateway, ABadConfigurationIsOneLineThatNamesTheKey) {
   const auto good = config_json("127.0.0.1:1", list_of(1, {}));
   const auto with = [&](const std::string& from, const std::string& to) {
@@ -257,6 +265,7 @@
         Case{with("127.0.0.1:0", "everywhere"), "listen"}, Case{with("127.0.0.1:1\"", "x\""), "discovery"},
         Case{with("\"seed\":\"2a\"", "\"seed\":\"zz\""), "seed"},
         Case{with("\"sockets\":1024", "\"sockets\":1"), "limits.sockets"},
+        Case{with("\"memory_mb\":192", "\"memory_mb\":1"), "limits.memory_mb"},
         Case{with("\"aim\":2000", "\"aim\":\"soon\""), "settings.classes.0.aim"},
         Case{with("\"servers\":[]", "\"servers\":7"), "known"}}) {
     Program p(config);
