SIGHUP reads the configuration again and moves the watch, keeping all else

Checked: 129 is 128 + SIGHUP; src/app/gateway.cpp registers SIGTERM, SIGINT and SIGUSR1 only, so the default action ends the program. A test that sends SIGHUP to the started program saw the same exit. Now the file is read again whole: its discovery wins over ROUTER_DISCOVERY of the start, the watch moves there and asks at once for the whole list (its versions may be others), lists, requests and connections stay. A file that cannot be used is one line and changes nothing. DiscoveryWatch::start no longer drops a watch that is open: after a move the router's own request for one, still due from the failure before, cost the new watch its first answer. The MySQL front's watch moves too. Tests: several in a row, a bad file twice, a held request, beside SIGTERM, and the file against the variable.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -190,7 +190,7 @@
   return c;
 }
 
-Config load_config() {
+Config load_config(bool reload) {
   const char* path = std::getenv("ROUTER_CONFIG");
   if (!path) throw ConfigError("ROUTER_CONFIG: not set");
   auto c = parse_config(read_file(path));
@@ -199,7 +199,7 @@
   };
   variable("ROUTER_NAME", c.name);
   variable("ROUTER_LISTEN", c.platform.listen);
-  variable("ROUTER_DISCOVERY", c.platform.discovery);
+  if (!reload) variable("ROUTER_DISCOVERY", c.platform.discovery);
   check_address("listen", c.platform.listen);
   check_address("discovery", c.platform.discovery);
   std::string mysql = "deploy/mysql.json";
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -38,8 +38,8 @@
 Config parse_config(const std::string& json);
 /// Reads the MySQL front's file: nothing if it is off. What it leaves out is as on the platform.
 std::optional<ServiceConfig> parse_mysql_config(const std::string& json, const ServiceConfig& platform);
-/// Reads the file of ROUTER_CONFIG; the other variables win over what it holds. The MySQL front's file is
-/// deploy/mysql.json, or what CEDARRING_MYSQL names.
-Config load_config();
+/// Reads the file of ROUTER_CONFIG; at the start the other variables win over what it holds, at a reload the
+/// file wins: it is newer. The MySQL front's file is deploy/mysql.json, or what CEDARRING_MYSQL names.
+Config load_config(bool reload = false);
 
 }  // namespace cedarring::app
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -27,13 +27,22 @@
 }  // namespace
 
 Gateway::Gateway(ev::loop_ref loop, const Config& c)
-    : loop_(loop), reaper_(loop), term_(loop), int_(loop), usr1_(loop), drain_(loop), check_(loop) {
+    : loop_(loop),
+      reaper_(loop),
+      term_(loop),
+      int_(loop),
+      usr1_(loop),
+      hup_(loop),
+      drain_(loop),
+      check_(loop) {
   term_.set<Gateway, &Gateway::stop>(this);
   int_.set<Gateway, &Gateway::stop>(this);
   term_.start(SIGTERM);
   int_.start(SIGINT);
   usr1_.set<Gateway, &Gateway::told>(this);
   usr1_.start(SIGUSR1);
+  hup_.set<Gateway, &Gateway::reload>(this);
+  hup_.start(SIGHUP);
   drain_.set<Gateway, &Gateway::drain>(this);
   check_.set<Gateway, &Gateway::check_empty>(this);
   wire::RingBuffer::set_bound((c.memory_mb << 20U) / 2);
@@ -65,6 +74,17 @@
                 << b.served << " refused " << b.refused << " failed " << b.failed << std::endl;
 }
 
+/// Moves the watches to where the configuration now says. Lists, requests and connections stay; whatever else
+/// has changed in it takes a restart. One that cannot be used changes nothing.
+void Gateway::reload(ev::sig&, int) {
+  try {
+    const auto c = load_config(true);
+    services_[0]->move_watch(c.platform.discovery);
+    if (c.mysql && services_.size() > 1) services_[1]->move_watch(c.mysql->discovery);
+    std::cout << "reloaded, discovery " << c.platform.discovery << std::endl;
+  } catch (const std::exception& e) { std::cout << "not reloaded: " << e.what() << std::endl; }
+}
+
 bool Gateway::empty() const {
   return std::all_of(
       services_.begin(), services_.end(), [](const auto& s) { return s->empty(); });
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -21,6 +21,7 @@
  private:
   void stop(ev::sig&, int);
   void drain(ev::timer&, int);
+  void reload(ev::sig&, int);
   void told(ev::sig&, int) { report(); }
   void report() const;
   void check_empty(ev::prepare&, int);
@@ -30,7 +31,7 @@
   UnixClock clock_;
   wire::Reaper reaper_;
   std::vector<std::unique_ptr<Service>> services_;
-  ev::sig term_, int_, usr1_;
+  ev::sig term_, int_, usr1_, hup_;
   ev::timer drain_;
   ev::prepare check_;
 };
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -21,6 +21,10 @@
   Service(ev::loop_ref loop, wire::Reaper& reaper, memory::Broker::Clock clock, const ServiceConfig& config,
           const Parts& parts, std::size_t descriptors);
   void drain() { clients_.drain(); }
+  /// Watches the list at another address; the list stays what it is until that tells otherwise.
+  void move_watch(const std::string& address) {
+    if (discovery_ && !address.empty()) discovery_->move(address);
+  }
   /// Where updates of the zone are taken; empty without one.
   [[nodiscard]] std::string zone_address() const { return zone_ ? zone_->address() : std::string(); }
   [[nodiscard]] std::string address() const { return clients_.address(); }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the gateway takes it
   try {
     ev::default_loop loop;
     cedarring::app::Gateway gateway(loop, cedarring::app::load_config());
--- a/src/wire/discovery.cpp
+++ b/src/wire/discovery.cpp
@@ -132,8 +132,19 @@
 
 DiscoveryWatch::~DiscoveryWatch() = default;
 
+/// A watch that was moved may be open already when the router asks for one after the last that failed.
 void DiscoveryWatch::start() {
+  if (!stream_) open();
+}
+
+void DiscoveryWatch::move(std::string address) {
   if (stream_) stream_->stop(), reaper_.take(std::move(stream_));
+  address_ = std::move(address);
+  version_ = 0;
+  open();
+}
+
+void DiscoveryWatch::open() {
   Fd fd = connect_to(address_);
   if (fd.get() < 0) return events_.failed();
   std::string request = "GET /catalog/members?follow=1&since=" + std::to_string(version_) +
--- a/src/wire/discovery.h
+++ b/src/wire/discovery.h
@@ -25,12 +25,16 @@
   DiscoveryWatch(ev::loop_ref loop, Reaper& reaper, std::string address, std::uint64_t version,
                  Events events);
   ~DiscoveryWatch();
-  /// Starts a watch anew; one event follows in any case.
+  /// Starts a watch if none is open; one event follows in any case.
   void start();
+  /// Leaves the watch that is open, if any, for one at another address, which is asked at once for all it
+  /// has: its versions may not be those of the address before.
+  void move(std::string address);
 
  private:
   class Stream;
   void listed(const memory::MemberList& list);
+  void open();
   void ended();
   void silent(ev::timer&, int);
   ev::loop_ref loop_;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -176,6 +176,46 @@
   EXPECT_NE(f.program->output().find("tenant acme asked 2 over 0 served 1"), std::string::npos);
 }
 
+TEST(Gateway, HupMovesTheWatchAndKeepsAllElse) {
+  Fleet f;
+  PgStandIn newcomer;
+  Discovery next(
+      list_of(2, {member("p", f.primary.address(), true), member("n", newcomer.address(), false)}));
+  ASSERT_TRUE(f.discovery->wait_watches(1));
+  PgClient held(f.program->pg()), c(f.program->pg());
+  f.primary.act = Act::hang;
+  held.socket.send(pg_query(statement("a1", "pay", 3000)));
+  ASSERT_TRUE(f.primary.wait_for(1));
+  for (const auto& bad : {std::string("nonsense"), config_json("nowhere", list_of(1, {}))}) {
+    f.program->configure(bad);
+    f.program->signal(SIGHUP);
+    ASSERT_TRUE(f.program->wait_output("not reloaded: ", bad == "nonsense" ? 1 : 2));
+  }
+  EXPECT_EQ(c.query(statement("a2", "history")).types, "TDCZ");
+  f.program->configure(config_json(next.address(), list_of(1, {})));
+  for (int i = 0; i < 5; ++i) f.program->signal(SIGHUP);
+  ASSERT_TRUE(next.wait_watches(1));
+  for (int i = 0; newcomer.count() == 0 && i < 2000; ++i)
+    EXPECT_EQ(c.query(statement("b" + std::to_string(i), "history")).types, "TDCZ");
+  EXPECT_GT(newcomer.count(), 0U);
+  EXPECT_EQ(held.read_answer().code, "58000");  // at its deadline, on the connection that it had
+  f.program->signal(SIGHUP);
+  f.program->signal(SIGTERM);
+  f.program->signal(SIGHUP);
+  EXPECT_EQ(f.program->wait_exit(), 0);
+}
+
+TEST(Gateway, AtHupTheFileWinsOverTheVariable) {
+  Discovery first(list_of(1, {})), next(list_of(1, {}));
+  ::setenv("ROUTER_DISCOVERY", first.address().c_str(), 1);
+  Program program(config_json("127.0.0.1:1", list_of(1, {})));
+  ::unsetenv("ROUTER_DISCOVERY");
+  ASSERT_TRUE(first.wait_watches(1));
+  program.configure(config_json(next.address(), list_of(1, {})));
+  program.signal(SIGHUP);
+  EXPECT_TRUE(next.wait_watches(1));
+}
+
 TEST(Gateway, AWatchThatFallsSilentIsAskedForAnew) {
   Fleet f;
   ASSERT_TRUE(f.discovery->wait_watches(1));
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -426,6 +426,22 @@
 
 void Program::signal(int number) const { ::kill(pid_, number); }
 
+void Program::configure(const std::string& config) const {
+  std::ofstream(dir_ + "/next.json") << config;
+  ::rename((dir_ + "/next.json").c_str(), (dir_ + "/config.json").c_str());
+}
+
+bool Program::wait_output(const std::string& text, int times) {
+  const auto count = [&] {
+    int n = 0;
+    for (auto at = output_.find(text); at != std::string::npos; at = output_.find(text, at + 1)) ++n;
+    return n;
+  };
+  std::string line;
+  while (count() < times && read_line(line)) {}
+  return count() >= times;
+}
+
 int Program::wait_exit() {
   std::string line;
   while (read_line(line)) {}
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -36,8 +36,8 @@
   /// True once the peer has closed or reset.
   bool ended();
   bool ended_in_order();  // by an end, not a reset
-  void reset();      // with RST
-  void shut_down();  // wakes a reader of another thread
+  void reset();           // with RST
+  void shut_down();       // wakes a reader of another thread
   [[nodiscard]] int fd() const { return fd_.get(); }
 
  private:
@@ -137,6 +137,8 @@
   [[nodiscard]] const std::string& dns() const { return dns_; }
   [[nodiscard]] const std::string& output() const { return output_; }
   void signal(int number) const;
+  void configure(const std::string& config) const;       // replaces its file
+  bool wait_output(const std::string& text, int times);  // until it has said it so often
   int wait_exit();
 
  private:
