Check host answers for order and shape, pool nothing with leftovers, turn away ids in use

At fault: PgHost::take collected T, D and C in any order and number, looked neither at their shape nor at an E behind rows or without a code; PgHost::on_input parsed on after Z while the connection may carry the next request, and pending() asked the kernel alone; nothing looked for an id in use or missing; parse_report took the readable half of a broken report. Now an answer out of order or shape is a reset that may have run, its connection goes and what it told is not believed; a connection is pooled only with nothing left over; a report is read whole or not at all; an id in use or missing gets 08P01 (1210 in MySQL). The MySQL hosts had the same leftovers, and an error behind rows counted as never run there; packet numbers are checked as well.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -834,7 +834,8 @@
       probe_doubt_ -= probe_doubt_ * fail_gain / 4;
       h.seen = now_;
       probe_time_ += (e.elapsed - probe_time_) / 8;
-      take(h, e.report);
+      // One that could not be read changes no belief but that the host lives.
+      if (e.report.position || e.report.role || e.report.queue) take(h, e.report);
     } else {
       ++h.lost_probes;
     }
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -28,10 +28,13 @@
   if (!budgets_.empty() && budget == budgets_.end()) return Rejection::unknown_tenant;
   if (!hosts_.has_group(ask.group)) return Rejection::unknown_group;
   if (requests_.size() >= max_requests_) return Rejection::overfull;
+  // Hosts and the rules know a request by it: two at once could be taken for one another.
+  if (!names_.insert(ask.name).second) return Rejection::name_in_use;
   const Time now = clock_();
   id = RequestId{next_request_++};
   auto& r = requests_[id.value];
   r.front = &front;
+  r.name = ask.name;
   r.work = ask.work;
   r.deadline = now + ask.time_left;
   if (budget != budgets_.end()) {
@@ -54,7 +57,7 @@
 void Broker::client_left(RequestId id) {
   const auto it = requests_.find(id.value);
   if (it == requests_.end() || it->second.ended) return;
-  it->second.ended = true;
+  close(it->second);
   it->second.front = nullptr;
   feed(ClientLeft{id});
   // Nobody waits for it any more: what is still out is given up, and its connection with it.
@@ -91,7 +94,7 @@
   Front* front = nullptr;
   if (result.outcome == Outcome::ok && !r.ended) {
     front = std::exchange(r.front, nullptr);
-    r.ended = true;
+    close(r);
     count(r, End::served);
   }
   event.request_ended = r.ended;
@@ -172,7 +175,7 @@
 void Broker::end(RequestId id, FinalAnswer answer) {
   const auto it = requests_.find(id.value);
   if (it == requests_.end() || it->second.ended) return;
-  it->second.ended = true;
+  close(it->second);
   count(it->second, answer.end);
   if (answer.end == End::failed) answer.message = std::move(it->second.message), answer.why = it->second.why;
   if (auto* front = std::exchange(it->second.front, nullptr)) front->finish(id, std::move(answer));
@@ -192,6 +195,11 @@
   return true;
 }
 
+void Broker::close(Request& r) {
+  r.ended = true;
+  names_.erase(r.name);
+}
+
 void Broker::settle(RequestId id) {
   const auto it = requests_.find(id.value);
   if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,7 @@
 
 /// A request in the terms of its contract.
 struct Ask {
+  std::string name;      // its id among the clients' open requests
   std::string contract;  // the class's name
   std::string tenant;
   GroupId group;
@@ -87,7 +89,7 @@
   bool draw(Time now);
 };
 
-enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, overfull };
+enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, name_in_use, overfull };
 
 class Broker {
  public:
@@ -116,6 +118,7 @@
   };
   struct Request {
     Front* front = nullptr;
+    std::string name;
     std::shared_ptr<const Work> work;
     Budget* budget = nullptr;
     Time deadline{};
@@ -131,6 +134,7 @@
   void send(const Send& send, Time now);
   void end(RequestId id, FinalAnswer answer);
   void settle(RequestId id);
+  void close(Request& r);
   static void count(const Request& r, End end);
 
   std::vector<std::string> contracts_;
@@ -141,6 +145,7 @@
   Router router_;
   HostTable hosts_;
   std::unordered_map<std::uint64_t, Request> requests_;
+  std::unordered_set<std::string> names_;  // of the open requests
   std::uint64_t next_request_ = 1;
   std::deque<std::pair<Time, Event>> events_;
   bool feeding_ = false;  // guards against feeding the router while it is being fed
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <optional>
 #include <ostream>
+#include <set>
 
 namespace cedarring::sim {
 namespace {
@@ -261,6 +262,17 @@
   return report;
 }
 
+Report parse_whole_report(std::string_view stats) {
+  std::set<std::string_view> names;
+  for (const auto part : split_commas(stats)) {
+    const auto mark = part.find('=');
+    if (mark == std::string_view::npos || mark == 0 || !names.insert(part.substr(0, mark)).second) return {};
+    const auto value = to_number(part.substr(mark + 1));
+    if (!value || *value < 0 || (part.substr(0, mark) == "x1" && *value != 0 && *value != 1)) return {};
+  }
+  return parse_report(stats, Time::zero(), '=');
+}
+
 Settings parse_settings(std::string_view text, std::uint64_t seed, std::string_view zone,
                         std::vector<std::string>& zones, Time& base_time) {
   const Facts facts(text);
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -90,6 +90,7 @@
 
 memory::Rejection Client::ask(const StatementInfo& info, std::shared_ptr<const memory::Work> work) {
   memory::Ask ask;
+  ask.name = info.id;
   ask.contract = info.contract;
   ask.tenant = info.tenant;
   ask.group = GroupId{*info.cluster};
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -161,6 +161,7 @@
 }
 
 bool Connection::pending() const {
+  if (!in_.empty()) return true;
   char byte = 0;
   const auto n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -48,8 +48,8 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
   [[nodiscard]] bool closed() const { return fd_.get() < 0; }
-  /// Whether something waits to be read, the peer's close too: an idle connection like that is not to be
-  /// used.
+  /// Whether something is left or waits to be read, the peer's close too: an idle connection like that is not
+  /// to be used.
   [[nodiscard]] bool pending() const;
 
  protected:
--- a/src/wire/mysql_host.cpp
+++ b/src/wire/mysql_host.cpp
@@ -52,6 +52,7 @@
 }
 
 void MysqlHost::submit() {
+  sequence_ = 1;
   if (!job_->attempt) {
     state_ = State::first;
     return command(query_packet({}, "SHOW health"), true);
@@ -74,6 +75,7 @@
 }
 
 void MysqlHost::prepared(std::uint32_t id) {
+  sequence_ = 1;
   state_ = State::first;
   command(execute_packet(id, work().placeholders, with_own_deadline(work(), ms_left())), true);
 }
@@ -93,6 +95,8 @@
 
 bool MysqlHost::take(const Packet& packet) {
   const auto p = packet.payload;
+  if (packet.sequence != sequence_) return false;  // of another answer than the one that is due
+  ++sequence_;
   switch (state_) {
     case State::greeting: return take_greeting(p);
     case State::login: return take_login(p);
@@ -119,6 +123,7 @@
   if (!parse_greeting(payload, g) || (g.capabilities & needed) != needed) return false;
   std::string out;
   std::uint8_t sequence = 1;
+  sequence_ = 2;
   put_packet(out, sequence, handshake_response(wanted & g.capabilities, "svc", "main"));
   state_ = State::login;
   return write(out);
@@ -170,7 +175,14 @@
 }
 
 bool MysqlHost::take_row(std::string_view p) {
-  if (is_error(p)) return failed(p), true;
+  if (is_error(p)) {
+    // After a part of the answer no code proves any more that nothing has run.
+    memory::AttemptResult result;
+    result.outcome = Outcome::error;
+    result.message = p;
+    finish(std::move(result), false);
+    return true;
+  }
   if (!p.empty() && p[0] == '\xfe') return ended(p);
   if (job_ && !job_->attempt) {
     Reader row(p);
@@ -186,7 +198,7 @@
   state_ = State::idle;
   memory::AttemptResult result;
   result.note = note_;
-  if (!job_->attempt) result.report = sim::parse_report(health_, Time::zero(), '=');
+  if (!job_->attempt) result.report = sim::parse_whole_report(health_);
   result.value = std::move(answer_);
   finish(std::move(result), true);
   return true;
--- a/src/wire/mysql_host.h
+++ b/src/wire/mysql_host.h
@@ -39,6 +39,7 @@
 
   State state_ = State::greeting;
   std::list<Prepared> statements_;  // used last first
+  std::uint8_t sequence_ = 0;       // of the next packet that is due
   std::uint64_t left_ = 0;          // definitions still to come
   std::uint32_t preparing_ = 0;
   std::string answer_;  // its packets, whole
--- a/src/wire/pg.cpp
+++ b/src/wire/pg.cpp
@@ -1,5 +1,7 @@
 #include "wire/pg.h"
 
+#include <algorithm>
+
 namespace cedarring::wire::pg {
 namespace {
 
@@ -61,14 +63,28 @@
 }
 
 std::string_view error_field(std::string_view body, char field) {
+  std::string_view found;
   while (!body.empty() && body[0] != '\0') {
     const char type = body[0];
     body.remove_prefix(1);
     const auto text = take_text(body);
     if (!text) return {};
-    if (type == field) return *text;
+    if (type == field) found = *text;
   }
-  return {};
+  return body.size() == 1 ? found : std::string_view();
+}
+
+bool valid_code(std::string_view code) {
+  return code.size() == 5 && std::all_of(
+                                 code.begin(), code.end(),
+                                 [](char c) { return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z'); });
+}
+
+bool one_column(std::string_view body) {
+  constexpr std::size_t rest = 18;  // table, column, type, size, modifier, format
+  if (body.size() < 2 || body[0] != 0 || body[1] != 1) return false;
+  body.remove_prefix(2);
+  return take_text(body) && body.size() == rest;
 }
 
 std::optional<std::string_view> only_column(std::string_view body) {
--- a/src/wire/pg.h
+++ b/src/wire/pg.h
@@ -30,8 +30,12 @@
 
 /// A text that ends with a zero byte, taken off the front of `body`.
 std::optional<std::string_view> take_text(std::string_view& body);
-/// One field ('C' code, 'M' message, 'S' severity) of an ErrorResponse's body.
+/// One field ('C' code, 'M' message, 'S' severity) of an ErrorResponse's body; empty if it is not one.
 std::string_view error_field(std::string_view body, char field);
+/// An SQLSTATE: five capitals or digits.
+bool valid_code(std::string_view code);
+/// Whether a RowDescription tells exactly one column.
+bool one_column(std::string_view body);
 /// The only column of a DataRow; nothing if it is null or there is not exactly one.
 std::optional<std::string_view> only_column(std::string_view body);
 
--- a/src/wire/pg_host.cpp
+++ b/src/wire/pg_host.cpp
@@ -7,8 +7,7 @@
 
 void PgHost::reset() {
   rows_.clear();
-  row_count_ = 0;
-  complete_ = false;
+  next_ = Next::description;
   error_code_.clear();
   error_text_.clear();
   health_.clear();
@@ -45,33 +44,50 @@
   }
 }
 
-/// False for an answer that is too long to be held.
 bool PgHost::take(char type, std::string_view body, std::string_view whole) {
+  if (!job_) return false;  // nothing is due: a second answer, or the host's goodbye
+  const bool answer = welcomed_ && submitted_;
   switch (type) {
     case 'T':
-    case 'D':
-    case 'C':
-      if (!submitted_) break;
-      rows_ += whole;
-      if (rows_.size() > pg_message_most) return false;
-      if (type == 'C') complete_ = true;
-      if (type == 'D') {
-        ++row_count_;
-        if (job_ && !job_->attempt) health_ = pg::only_column(body).value_or("");
-      }
+      if (!answer || next_ != Next::description || !pg::one_column(body)) return false;
+      next_ = Next::row;
+      break;
+    case 'D': {
+      const auto value = pg::only_column(body);
+      if (!answer || next_ != Next::row || !value) return false;
+      if (!job_->attempt) health_ = *value;
+      next_ = Next::complete;
       break;
-    case 'E':
-      error_code_ = pg::error_field(body, 'C');
-      error_text_ = pg::error_field(body, 'M');
+    }
+    case 'C':
+      if (!answer || next_ != Next::complete || !pg::take_text(body) || !body.empty()) return false;
+      next_ = Next::ready;
       break;
+    case 'E': return take_error(body);
+    case 'Z': return body == "I" && (!welcomed_ || (answer && next_ == Next::ready));
     case 'S': {
       const auto name = pg::take_text(body);
       const auto value = pg::take_text(body);
-      if (name && value) set_note(*name, *value, note_);
-      break;
+      if (!name || !value || !body.empty()) return false;
+      set_note(*name, *value, note_);
+      return true;
     }
-    default: break;  // notices and keys: nothing to learn from
+    case 'R': return !welcomed_ && body == std::string_view("\0\0\0\0", 4);
+    case 'K': return !welcomed_;
+    case 'N': return true;
+    default: return false;
   }
+  rows_ += whole;
+  return rows_.size() <= pg_message_most;
+}
+
+/// After a part of an answer an error proves nothing: what the host ran it for has come to light already.
+bool PgHost::take_error(std::string_view body) {
+  const auto code = pg::error_field(body, 'C');
+  if (!pg::valid_code(code) || next_ != Next::description) return false;
+  error_code_ = code;
+  error_text_ = pg::error_field(body, 'M');
+  next_ = Next::ready;
   return true;
 }
 
@@ -86,15 +102,16 @@
 
 /// ReadyForQuery: the welcome is over, or the answer is whole.
 void PgHost::completed() {
-  if (!welcomed_) return welcome();
-  if (!job_ || !submitted_) return;
+  if (!welcomed_) {
+    if (!error_code_.empty() || !in_.empty()) return broken();
+    return welcome();
+  }
   auto result = said().value_or(memory::AttemptResult{});
   if (error_code_.empty()) {
     result.note = note_;
-    result.outcome = complete_ && row_count_ == 1 ? Outcome::ok : Outcome::error;
-    if (result.outcome == Outcome::ok) result.value = std::move(rows_);
+    result.value = std::move(rows_);
   }
-  if (!job_->attempt) result.report = sim::parse_report(health_, Time::zero(), '=');
+  if (!job_->attempt) result.report = sim::parse_whole_report(health_);
   finish(std::move(result), true);
 }
 
--- a/src/wire/pg_host.h
+++ b/src/wire/pg_host.h
@@ -19,12 +19,15 @@
   void reset() override;
   void submit() override;
   std::optional<memory::AttemptResult> said() override;
+  /// False for what has no place here: the connection has lost its order and is of no more use.
   bool take(char type, std::string_view body, std::string_view whole);
+  bool take_error(std::string_view body);
   void completed();
 
   std::string rows_;  // the messages that make up the answer
-  int row_count_ = 0;
-  bool complete_ = false;
+  // How far the answer has come: T, D, C, or E in place of them; Z ends it.
+  enum class Next { description, row, complete, ready };
+  Next next_ = Next::description;
   std::string error_code_, error_text_, health_;
   Note note_;
 };
--- a/src/wire/statement.cpp
+++ b/src/wire/statement.cpp
@@ -1,6 +1,11 @@
 #include "wire/statement.h"
 
 namespace cedarring::wire {
+namespace {
+
+constexpr std::size_t id_most = 128;  // it is kept while its request is open
+
+}  // namespace
 
 std::optional<std::int64_t> to_int(std::string_view text) {
   if (text.empty() || text.size() > 18) return std::nullopt;
@@ -26,6 +31,7 @@
 }
 
 std::string_view lacking(const StatementInfo& info) {
+  if (info.id.empty() || info.id.size() > id_most) return "id";
   if (info.contract.empty()) return "c";
   if (!info.deadline_ms || *info.deadline_ms > 86'400'000) return "d";
   if (!info.cluster) return "cluster";
@@ -83,7 +89,8 @@
 }
 
 void set_note(std::string_view name, std::string_view value, Note& note) {
-  if (name == "recovery") note.role = value == "off" ? Role::primary : Role::replica;
+  if (name == "recovery" && value == "off") note.role = Role::primary;
+  if (name == "recovery" && value == "on") note.role = Role::replica;
   if (name != "lsn_ms") return;
   // Past this a position would not fit the module's clock.
   if (const auto at = to_int(value); at && *at > 0 && *at < 10'000'000'000'000)
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -64,6 +64,7 @@
 void HostConnection::finish(AttemptResult result, bool keep) {
   timer_.stop();
   const auto job = std::exchange(job_, std::nullopt);
+  keep = keep && in_.empty() && out_.empty();
   if (!keep && !closed()) close();
   owner_.done(this, *job, std::move(result), keep);
 }
@@ -90,12 +91,13 @@
 
 void HostConnection::broken() {
   if (!closed()) close();
-  on_end(EPROTO);
+  end(std::nullopt);
 }
 
-void HostConnection::on_end(int) {
+void HostConnection::on_end(int) { end(said()); }
+
+void HostConnection::end(std::optional<AttemptResult> result) {
   if (!job_) return owner_.gone(this);
-  auto result = said();
   if (!result) {
     result.emplace();
     result->outcome = lost(submitted_ && out_.empty(), false);
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -43,12 +43,14 @@
   virtual std::optional<memory::AttemptResult> said() { return std::nullopt; }
 
   void on_end(int error) final;
+  void end(std::optional<memory::AttemptResult> result);
   /// The host has welcomed us.
   void welcome();
   /// The request itself is being written: from its last byte on it may run.
   bool write_request(std::string_view bytes);
+  /// Keeps the connection only if nothing is left over on it: that would be taken for the next answer.
   void finish(memory::AttemptResult result, bool keep);
-  /// Ends a connection that has broken the protocol.
+  /// Ends a connection that has broken the protocol: whatever it had said of the job counts for nothing.
   void broken();
   [[nodiscard]] std::int64_t ms_left() const;
 
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -106,8 +106,9 @@
     return s;
   }
   RequestId ask(const std::string& contract, Rejection expected = Rejection::none,
-                const std::string& tenant = "acme", std::int64_t group = 1) {
+                const std::string& tenant = "acme", std::int64_t group = 1, const std::string& name = "") {
     Ask a;
+    a.name = name.empty() ? "r" + std::to_string(++asked) : name;
     a.contract = contract;
     a.tenant = tenant;
     a.group = GroupId{group};
@@ -116,11 +117,21 @@
     EXPECT_EQ(broker.accept(a, front, id), expected);
     return id;
   }
+  int asked = 0;
   void run_until(Time end) {
     while (now < end) now += 5ms, broker.timer_fired();
   }
 };
 
+TEST(Broker, ANameIsTakenOnlyOnceAtATime) {
+  Bench b;
+  b.ask("pay", Rejection::none, "acme", 1, "x");
+  b.ask("pay", Rejection::name_in_use, "acme", 1, "x");
+  EXPECT_EQ(b.upstream.started.size(), 1U);
+  b.upstream.end(b.upstream.started[0].key, Outcome::ok);
+  b.ask("pay", Rejection::none, "acme", 1, "x");
+}
+
 TEST(Broker, OneFinalAnswerEachAndNothingIsKept) {
   Bench b;
   for (const auto outcome : {Outcome::ok, Outcome::error, Outcome::reset, Outcome::timeout, Outcome::full}) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "app/config.h"
+#include "sim/adapter.h"
 #include "support/stand_in.h"
 #include "wire/discovery.h"
 #include "wire/mysql.h"
@@ -24,17 +25,21 @@
   };
   for (const auto& c : {
            Case{"SELECT 1 /* id=1,c=view,t=a,d=480,cluster=2 */", true, "", "view"},
-           Case{"SELECT 1 /*c=view,d=480,cluster=2*/ ; ", true, "", "view"},
-           Case{"SELECT 1 /* x=y */ /* c=bid , d=1, cluster=0, new=7 */", true, "", "bid"},
+           Case{"SELECT 1 /*id=1,c=view,d=480,cluster=2*/ ; ", true, "", "view"},
+           Case{"SELECT 1 /* x=y */ /* id=1, c=bid , d=1, cluster=0, new=7 */", true, "", "bid"},
            Case{"SELECT 1", false, "a trailing comment", ""},
            Case{"SELECT /* c=view,d=480,cluster=2 */ 1", false, "a trailing comment", ""},
            Case{"/*/", false, "a trailing comment", ""},
-           Case{"SELECT 1 /* d=480,cluster=2 */", false, "c", ""},
-           Case{"SELECT 1 /* c=view,cluster=2 */", false, "d", "view"},
-           Case{"SELECT 1 /* c=view,d=480 */", false, "cluster", "view"},
+           Case{"SELECT 1 /* c=view,d=480,cluster=2 */", false, "id", "view"},
+           Case{"SELECT 1 /* id=,c=view,d=480,cluster=2 */", false, "id", "view"},
+           Case{"SELECT 1 /* id=" + std::string(129, 'x') + ",c=view,d=480,cluster=2 */", false, "id",
+                "view"},
+           Case{"SELECT 1 /* id=1,d=480,cluster=2 */", false, "c", ""},
+           Case{"SELECT 1 /* id=1,c=view,cluster=2 */", false, "d", "view"},
+           Case{"SELECT 1 /* id=1,c=view,d=480 */", false, "cluster", "view"},
            Case{"SELECT 1 /* c=view,d=-1,cluster=2 */", false, "a number in d", "view"},
            Case{"SELECT 1 /* c=view,d=9999999999999999999,cluster=2 */", false, "a number in d", "view"},
-           Case{"SELECT 1 /* c=view,d=86400001,cluster=2 */", false, "d", "view"},
+           Case{"SELECT 1 /* id=1,c=view,d=86400001,cluster=2 */", false, "d", "view"},
        }) {
     wire::StatementInfo info;
     std::string missing;
@@ -69,8 +74,9 @@
   };
   for (const auto& c :
        {Case{"recovery", "off", Role::primary, {}}, Case{"recovery", "on", Role::replica, {}},
-        Case{"lsn_ms", "1500", Role::unknown, Time(1'500'000)}, Case{"lsn_ms", "", Role::unknown, {}},
-        Case{"lsn_ms", "-4", Role::unknown, {}}, Case{"lsn_ms", "99999999999999", Role::unknown, {}}}) {
+        Case{"recovery", "o\x7f", Role::unknown, {}}, Case{"lsn_ms", "1500", Role::unknown, Time(1'500'000)},
+        Case{"lsn_ms", "", Role::unknown, {}}, Case{"lsn_ms", "-4", Role::unknown, {}},
+        Case{"lsn_ms", "99999999999999", Role::unknown, {}}}) {
     Note note;
     wire::set_note(c.name, c.value, note);
     EXPECT_EQ(note.role, c.role) << c.value;
@@ -78,6 +84,18 @@
   }
 }
 
+TEST(Statement, AReportIsReadWholeOrNotAtAll) {
+  const auto good = sim::parse_whole_report("x0=1767225600.123,x1=1,pending=3");
+  EXPECT_EQ(good.position, Time(1'767'225'600'123'000));
+  EXPECT_EQ(good.role, Role::primary);
+  EXPECT_EQ(good.queue, 3);
+  for (const auto* bad : {"", "x0", "x0=1767225600.123,x1=1,pending=", "x0=1,x1=2", "x0=1,x1=1,pending=-1",
+                          "x0=1,x0=2", "x0=1,x1=1,\x01\xff", "x0=1e999", "x0=1,,x1=1", "=1"}) {
+    const auto r = sim::parse_whole_report(bad);
+    EXPECT_FALSE(r.position || r.role || r.queue || r.util) << bad;
+  }
+}
+
 TEST(Pg, Framing) {
   struct Case {
     std::string in;
@@ -116,7 +134,27 @@
 TEST(Pg, FieldsColumnsAndOutcomes) {
   EXPECT_EQ(pg::error_field("SERROR\0C53300\0Mbusy\0\0"s, 'C'), "53300");
   EXPECT_EQ(pg::error_field("SERROR\0C53300"s, 'C'), "");
+  EXPECT_EQ(pg::error_field("SERROR\0C53300\0\0more"s, 'C'), "");
   EXPECT_EQ(pg::error_field("", 'C'), "");
+  for (const auto& [code, good] : {std::pair{"53300"s, true},
+                                   {"XX000"s, true},
+                                   {""s, false},
+                                   {"5330"s, false},
+                                   {"533000"s, false},
+                                   {"5330\0"s, false},
+                                   {"xx000"s, false}})
+    EXPECT_EQ(pg::valid_code(code), good) << code;
+  const auto rest = std::string(18, '\0');
+  for (const auto& [body, good] : {std::pair{"\0\1v\0"s + rest, true},
+                                   {"\0\1\0"s + rest, true},
+                                   {""s, false},
+                                   {"\0\1"s, false},
+                                   {"\0\2v\0"s + rest, false},
+                                   {"\xff\xffv\0"s + rest, false},
+                                   {"\0\1v"s, false},
+                                   {"\0\1v\0"s + rest + "x", false},
+                                   {"\0\1v\0"s + rest.substr(1), false}})
+    EXPECT_EQ(pg::one_column(body), good);
   EXPECT_EQ(pg::only_column("\0\1\0\0\0\2ab"s), "ab");
   for (const auto& bad : {"\0\2\0\0\0\1a\0\0\0\1b"s, "\0\1\xff\xff\xff\xff"s, "\0\1\0\0\0\3ab"s, "\0"s})
     EXPECT_EQ(pg::only_column(bad), std::nullopt);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -235,6 +235,57 @@
   EXPECT_EQ(c.read_answer().types, "CZ");
 }
 
+TEST(Gateway, ASpoiltAnswerIsAFailureThatMayHaveRun) {
+  Fleet f;
+  PgClient c(f.program->pg());
+  const auto z = PgStandIn::message('Z', "I"), row = PgStandIn::row("v");
+  const auto t = row.substr(0, row.find('D')), d = row.substr(t.size(), row.find('C') - t.size());
+  const auto done = row.substr(t.size() + d.size());
+  const auto error = PgStandIn::message('E', std::string("C53300\0Mfull\0\0", 14));
+  int i = 0;
+  for (const auto& bytes :
+       {std::string(40, '\x07'), d + t + done + z, t + d + d + done + z, t + done + z, d + done + z,
+        t + d + z, z, t + t + d + done + z, t + d + error + z, t + d + done + error + z, error + row + z,
+        PgStandIn::message('E', std::string("Mno code\0\0", 10)) + z,
+        PgStandIn::message('T', "garbage") + d + done + z, t + PgStandIn::message('D', "garbage") + done + z,
+        t + std::string("D\xb2\xd0\x5e\0", 5), t + std::string("D\xff\xff\xff\xff", 5)}) {
+    f.primary.say_once(bytes);
+    const auto before = f.all();
+    const auto answer = c.query(statement("s" + std::to_string(++i), "pay"));
+    EXPECT_EQ(answer.types, "EZ") << i;
+    EXPECT_EQ(answer.code, "58000") << i;  // no refusal: it may have run
+    EXPECT_EQ(f.all(), before + 1) << i;
+    EXPECT_EQ(c.query(statement("g" + std::to_string(i), "pay")).value, "from " + f.primary.address()) << i;
+  }
+}
+
+TEST(Gateway, WhatIsLeftOverIsNobodysAnswer) {
+  Fleet f;
+  const auto whole = PgStandIn::row("first") + PgStandIn::message('Z', "I");
+  int i = 0;
+  for (const auto& more : {whole, std::string(3, '\x07'), std::string("\0", 1)}) {
+    f.primary.say_once(whole + more);
+    PgClient c(f.program->pg());
+    const auto id = std::to_string(++i);  // in one segment: the second goes out as the first is answered
+    c.socket.send(pg_query(statement("a" + id, "pay")) + pg_query(statement("b" + id, "pay")));
+    EXPECT_EQ(c.read_answer().value, "first");
+    EXPECT_EQ(c.read_answer().value, "from " + f.primary.address());
+  }
+}
+
+TEST(Gateway, AnIdOfAnotherOpenRequestReachesNoHost) {
+  Fleet f;
+  f.primary.act = Act::hang;
+  PgClient held(f.program->pg()), other(f.program->pg());
+  held.socket.send(pg_query(statement("a1", "pay", 3000)));
+  ASSERT_TRUE(f.primary.wait_for(1));
+  f.primary.act = Act::serve;
+  EXPECT_EQ(other.query(statement("a1", "history")).code, "08P01");
+  EXPECT_EQ(f.all(), 1U);
+  EXPECT_EQ(held.read_answer().code, "58000");
+  EXPECT_EQ(other.query(statement("a1", "history")).types, "TDCZ");
+}
+
 TEST(Gateway, WrongRequestsGetAClearError) {
   Fleet f;
   struct Case {
@@ -244,6 +295,7 @@
   for (const auto& [sql, code] : {Case{"SELECT 1", "08P01"}, Case{statement("a", "nothing"), "08P01"},
                                   Case{"SELECT v /* id=a,c=view,t=nobody,d=900,cluster=1 */", "08P01"},
                                   Case{"SELECT v /* id=a,c=view,t=acme,d=900,cluster=77 */", "3D000"},
+                                  Case{"SELECT v /* c=view,t=acme,d=900,cluster=1 */", "08P01"},
                                   Case{"SELECT v /* id=a,c=view,t=acme,cluster=1 */", "08P01"},
                                   Case{"SELECT v /* id=a,c=view,t=acme,d=soon,cluster=1 */", "08P01"}}) {
     const auto answer = c.query(sql);
--- a/tests/mysql_test.cpp
+++ b/tests/mysql_test.cpp
@@ -136,8 +136,9 @@
         Case{"SET autocommit=0", 1235, "42000"}, Case{"SET @@session.autocommit = OFF", 1235, "42000"},
         Case{"SELECT 1; SELECT 2", 1235, "42000"}, Case{"SELECT 'open", 1064, "42000"},
         Case{"/* nothing */", 1065, "42000"}, Case{"SELECT 1", 1210, "HY000"},
-        Case{"SELECT 1 /* c=nothing,t=acme,d=9,cluster=1 */", 1210, "HY000"},
-        Case{"SELECT 1 /* c=view,t=acme,d=9,cluster=9 */", 1049, "42000"}}) {
+        Case{"SELECT 1 /* c=view,t=acme,d=9,cluster=1 */", 1210, "HY000"},
+        Case{"SELECT 1 /* id=w,c=nothing,t=acme,d=9,cluster=1 */", 1210, "HY000"},
+        Case{"SELECT 1 /* id=w,c=view,t=acme,d=9,cluster=9 */", 1049, "42000"}}) {
     EXPECT_NE(mysql_query(c, sql), 0) << sql;
     EXPECT_EQ(mysql_errno(c), code) << sql;
     EXPECT_STREQ(mysql_sqlstate(c), state) << sql;
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -135,9 +135,9 @@
   const std::lock_guard lock(mutex_);
   seen_.push_back(id);
   changed_.notify_all();
-  if (act != Act::reset_once) return act;
-  act = Act::serve;
-  return Act::reset;
+  const Act now = act;
+  if (now == Act::reset_once || now == Act::raw) act = Act::serve;
+  return now == Act::reset_once ? Act::reset : now;
 }
 
 void Host::hang(Socket& socket) {
@@ -204,6 +204,13 @@
 
 }  // namespace
 
+void PgStandIn::say_once(const std::string& bytes) {
+  raw = bytes;
+  act = Act::raw;
+}
+std::string PgStandIn::row(const std::string& value) { return pg_row(value); }
+std::string PgStandIn::message(char type, const std::string& body) { return pg_message(type, body); }
+
 void PgStandIn::serve(Socket& s) {
   const auto length = s.read(4);
   if (!length || !s.read(static_cast<unsigned char>((*length)[3]) - 4U)) return;
@@ -230,6 +237,7 @@
              status("lsn_ms", now_ms()) + ready;
     };
     switch (arrived(id_of(sql))) {
+      case Act::raw: s.send(raw); break;
       case Act::serve: s.send(answer()); break;
       case Act::serve_last: s.send(answer(), true); return;
       case Act::mute:
@@ -306,6 +314,7 @@
       continue;
     }
     switch (arrived(attribute_id.empty() ? id_of(sql) : attribute_id)) {
+      case Act::raw: s.send(raw); break;
       case Act::serve_last:
       case Act::serve: rows(row); break;
       case Act::mute:
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -45,7 +45,8 @@
 };
 
 // serve_last: and closes; mute: welcomes nobody; reset_once: serves from then on
-enum class Act { serve, serve_last, mute, hang, reset, reset_once, full, miss, error };
+// raw: says `raw`, once
+enum class Act { raw, serve, serve_last, mute, hang, reset, reset_once, full, miss, error };
 
 /// A host that counts what it is asked to run. One thread a connection; all are joined at the end.
 class Host {
@@ -54,6 +55,7 @@
   virtual ~Host() = default;
   [[nodiscard]] const std::string& address() const { return address_; }
   std::atomic<Act> act{Act::serve};
+  std::string raw;  // set before act
   std::atomic<bool> primary{false};
   /// What came: the id of each request, in order of arrival.
   std::vector<std::string> seen();
@@ -86,6 +88,10 @@
 
 class PgStandIn : public Host {
  public:
+  void say_once(const std::string& bytes);  // in place of its next answer
+  /// The messages of an answer with this value.
+  static std::string row(const std::string& value);
+  static std::string message(char type, const std::string& body);
   ~PgStandIn() override { stop(); }
 
  private:
