Believe a primary's claim that moves on, and use an erring one for reads with nowhere else to go

Checked with a trace of each refusal (not kept): 754 of 755 were gate-checks and bids, with no attempt, retry tokens at 10 and an admitted share of 1.00. Ruled out: admission, windows (6, none in flight), cold turns, the queue. At fault: silent() in src/brain.cpp calls a claim stale whose report is older than patience() and three usual ages, but usual_age_ learnt only from reports younger than patience(). The primary stayed out until it happened to answer something within its patience. Now a report that moves the position teaches its age, the first one at once, and a stale claim that moves is tried too. The desk-views: all replicas past the bound, the primary failing half of its requests, so ejected; choose() gave it writes and fresh reads in spite of that (usable) but no read that misses everywhere: 1431 were held to 95 % of their time. Now reads that no replica may answer have the same way. Both tests fail without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -239,7 +239,9 @@
       if (h.quiet(now_) <= wait) return false;
       if (now_ - h.moved <= wait) return now_ - *h.out.rbegin() <= wait;
     }
-    return !h.out.empty() || now_ - std::max({h.last_sent, h.heard, h.moved}) <= scale(wait, trial_patiences);
+    // A stale claim that moves now and then is tried as well: else it would keep the host out for good.
+    const auto sign = std::max({h.last_sent, h.heard, stale_claim ? never : h.moved});
+    return !h.out.empty() || now_ - sign <= scale(wait, trial_patiences);
   }
 
   bool healthy(const Host& h) const {
@@ -424,6 +426,7 @@
       return jammed(*top, r) || !cold_turn(r, *top, 1, true) ? nullptr : top;
     }
     const bool pool = pool_open(g, top);
+    bool nowhere = true;  // no replica may answer it, now or soon
     if (!(r.missed && top)) {
       // Health narrows, then gives way; only a refused connection is certain and waits for its trial.
       for (const bool careful : {true, false}) {
@@ -449,6 +452,7 @@
           const double w = step * warmth(h) * (1 - h.fails) * (1 - h.fails) / (latency * (h.in_flight() + 1));
           eligible.emplace_back(&h, w);
         }
+        nowhere = nowhere && !within && !busy;
         if (within && eligible.empty()) {
           if (seek(g, top, false)) return nullptr;
           eligible = guesses;
@@ -468,8 +472,9 @@
       }
       if (c.freshness != Freshness::any && seek(g, top, false)) return nullptr;
     }
-    // The primary as backup: a share of its window, or all for reads worth more than any write (iea4f33).
-    if (top && healthy(*top) && !jammed(*top, r) && room(*top, value(r) > write_value_ ? 1 : read_share) &&
+    // The primary as backup: a share of its window, or all for reads worth more than any write (iea4f33). Like
+    // writes, a read that has nowhere else to go uses it in spite of its errors.
+    if (top && (nowhere ? usable(*top) : healthy(*top)) && !jammed(*top, r) && room(*top, value(r) > write_value_ ? 1 : read_share) &&
         cold_turn(r, *top, 1, true))
       return top;
     return nullptr;
@@ -743,8 +748,9 @@
     // A primary stands at the present, so its position dates the report.
     h.report_age =
         report.position && report.role == Role::primary ? now_ - *report.position : Duration::zero();
-    if (h.report_age > Duration::zero() && h.report_age < patience(h))
-      usual_age_ += (h.report_age - usual_age_) / 16;
+    // One that moved the position is no frozen claim, so its age is usual, however long beside our aims.
+    if (h.report_age > Duration::zero() && *report.position > h.position)
+      usual_age_ += (h.report_age - usual_age_) / (usual_age_ == Duration::zero() ? 1 : 16);
     if (report.position) learn_position(h, *report.position);
     if (report.queue) {
       reports_queue_ = true;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -978,6 +978,41 @@
   EXPECT_FALSE(b.sent(b.ask(write, 2)));
 }
 
+// A site whose aims are short beside the age of its reports: a claim that moves on is no frozen one.
+TEST(Primary, AMovingClaimIsBelievedHoweverOldReportsAre) {
+  auto s = make_settings();
+  for (auto& c : s.classes) c.aim = 80ms;
+  Bench b(s);
+  for (int i = 0; i < 20; ++i) {
+    b.pass(100ms);
+    b.report(1, b.now - 250ms, true);
+  }
+  b.pass(90ms);
+  EXPECT_TRUE(b.sent(b.ask(write, 1)));
+}
+
+// Replicas past the bound and a primary that fails most requests: some of its answers beat none.
+TEST(Primary, AReadWithNowhereElseToGoUsesItInSpiteOfErrors) {
+  for (const bool lagging : {true, false}) {
+    Bench b;
+    const auto start = b.now;
+    int erred = 0;
+    for (int i = 0; i < 30; ++i) {
+      b.pass(100ms);
+      b.report(1, b.now, true);
+      for (const std::uint32_t replica : {2U, 3U}) b.report(replica, lagging ? start : b.now, false);
+      const auto r = b.ask(fresh);
+      if (!b.sent(r)) continue;
+      ++erred;
+      b.end(r, Outcome::error);
+      b.end(r, Outcome::error, {}, true);
+    }
+    ASSERT_GT(erred, 5);
+    b.report(1, b.now, true);
+    EXPECT_EQ(b.to(bounded) == 1U, lagging);
+  }
+}
+
 // ib4e6e7: a process that refused connections and answers again has started anew, announced or not.
 TEST(Rules, FourAHostBackFromRefusalsCountsAsCold) {
   Bench b;
