--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -472,9 +472,10 @@
       }
       if (c.freshness != Freshness::any && seek(g, top, false)) return nullptr;
     }
-    // The primary as backup: a share of its window, or all for reads worth more than any write (iea4f33). Like
-    // writes, a read that has nowhere else to go uses it in spite of its errors.
-    if (top && (nowhere ? usable(*top) : healthy(*top)) && !jammed(*top, r) && room(*top, value(r) > write_value_ ? 1 : read_share) &&
+    // The primary as backup: a share of its window, or all for reads worth more than any write (iea4f33).
+    // Like writes, a read that has nowhere else to go uses it in spite of its errors.
+    if (top && (nowhere ? usable(*top) : healthy(*top)) && !jammed(*top, r) &&
+        room(*top, value(r) > write_value_ ? 1 : read_share) &&
         cold_turn(r, *top, 1, true))
       return top;
     return nullptr;
