A connection to a host that has moved, drains or is gone serves no more after its request

Seen in the code, shown by tests before the change: a request in work while its host's entry gets another address ends on the old connection, which was then pooled under the host and took the next request to the old process; a host told gone got its connection pooled after the drop, and Pool kept an empty entry for each host id ever seen; an ERR behind rows was passed on by the MySQL front as the host's own 1040, which reads as "nothing ran". At fault: HostConnection::withdraw looked at unsent jobs alone, Pool::take and retire left empty vectors, and MysqlHost::take_row handed the host's text on. Now withdraw marks the connection as its last, the pool forgets hosts without connections, such an error ends as 1105. A test holds the broker's and router's entries bounded over 400 lists of new hosts. Tried and dropped: taking connections first that have rested for 5 ms, against hosts that close right after an answer.

--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -108,6 +108,10 @@
   void timer_fired();
 
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+  /// How many entries are held (requests, hosts, the router's own): it stays bounded.
+  [[nodiscard]] std::size_t held() const {
+    return requests_.size() + names_.size() + hosts_.size() + router_.held();
+  }
   [[nodiscard]] const std::vector<Budget>& budgets() const { return budgets_; }
 
  private:
--- a/src/memory/pool.h
+++ b/src/memory/pool.h
@@ -16,9 +16,10 @@
   /// The one used last: the others may fall idle for good and be retired.
   Connection* take(HostId host) {
     const auto it = idle_.find(host);
-    if (it == idle_.end() || it->second.empty()) return nullptr;
+    if (it == idle_.end()) return nullptr;
     auto* connection = it->second.back().connection;
     it->second.pop_back();
+    if (it->second.empty()) idle_.erase(it);
     return connection;
   }
   void remove(HostId host, Connection* connection) {
@@ -32,10 +33,12 @@
   /// Those idle since before `before`, taken out.
   std::vector<Connection*> retire(Time before) {
     std::vector<Connection*> old;
-    for (auto& [host, v] : idle_) {
+    for (auto host = idle_.begin(); host != idle_.end();) {
+      auto& v = host->second;
       const auto fresh = std::find_if(v.begin(), v.end(), [&](const Idle& i) { return i.since >= before; });
       for (auto it = v.begin(); it != fresh; ++it) old.push_back(it->connection);
       v.erase(v.begin(), fresh);
+      host = v.empty() ? idle_.erase(host) : std::next(host);
     }
     return old;
   }
@@ -52,21 +55,22 @@
   Connection* oldest() {
     auto best = idle_.end();
     for (auto it = idle_.begin(); it != idle_.end(); ++it)
-      if (!it->second.empty() &&
-          (best == idle_.end() || it->second.front().since < best->second.front().since))
-        best = it;
+      if (best == idle_.end() || it->second.front().since < best->second.front().since) best = it;
     if (best == idle_.end()) return nullptr;
     auto* connection = best->second.front().connection;
     best->second.erase(best->second.begin());
+    if (best->second.empty()) idle_.erase(best);
     return connection;
   }
+  /// Hosts that it keeps an entry for.
+  [[nodiscard]] std::size_t hosts() const { return idle_.size(); }
 
  private:
   struct Idle {
     Connection* connection;
     Time since;
   };
-  std::map<HostId, std::vector<Idle>> idle_;  // by how long they have been idle, longest first
+  std::map<HostId, std::vector<Idle>> idle_;  // none empty; by how long they have been idle, longest first
 };
 
 }  // namespace cedarring::memory
--- a/src/wire/mysql_host.cpp
+++ b/src/wire/mysql_host.cpp
@@ -179,7 +179,6 @@
     // After a part of the answer no code proves any more that nothing has run.
     memory::AttemptResult result;
     result.outcome = Outcome::error;
-    result.message = p;
     finish(std::move(result), false);
     return true;
   }
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -64,7 +64,7 @@
 void HostConnection::finish(AttemptResult result, bool keep) {
   timer_.stop();
   const auto job = std::exchange(job_, std::nullopt);
-  keep = keep && in_.empty() && out_.empty();
+  keep = keep && !last_ && in_.empty() && out_.empty();
   if (!keep && !closed()) close();
   owner_.done(this, *job, std::move(result), keep);
 }
@@ -83,6 +83,7 @@
 }
 
 void HostConnection::withdraw() {
+  last_ = true;
   if (!job_ || submitted_) return;
   AttemptResult result;
   result.outcome = Outcome::moot;
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -30,7 +30,8 @@
   void run(Job job);
   /// Closes without a word to the owner.
   void give_up();
-  /// Ends a job whose request has not been written yet: its host has been told draining or gone.
+  /// Its host has been told draining or gone, or is elsewhere now: a job whose request has not been written
+  /// yet ends; another is finished, but the connection serves no more after it.
   void withdraw();
   [[nodiscard]] HostId host() const { return host_; }
 
@@ -55,7 +56,7 @@
   [[nodiscard]] std::int64_t ms_left() const;
 
   std::optional<Job> job_;
-  bool welcomed_ = false, submitted_ = false;
+  bool welcomed_ = false, submitted_ = false, last_ = false;
 
  private:
   void expired(ev::timer&, int);
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -255,5 +255,34 @@
   EXPECT_EQ(pool.oldest(), nullptr);
 }
 
+TEST(Broker, OnALongDayOfNewHostsNothingGrows) {
+  Bench b;
+  b.upstream.at_once = Outcome::ok;
+  std::size_t early = 0;
+  for (int i = 0; i < 400; ++i) {
+    MemberList list;
+    list.full = true;
+    list.members.push_back({"p", "p", "a", GroupId{1}, HostState::ready, 1, true, {}});
+    const auto id = "h" + std::to_string(i);
+    list.members.push_back({id, id, "a", GroupId{1}, HostState::ready, 1, false, {}});
+    b.broker.listed(list);
+    for (int n = 0; n < 5; ++n) b.ask("history"), b.ask("bid");
+    b.run_until(b.now + 50ms);
+    if (i == 50) early = b.broker.held();
+  }
+  EXPECT_LE(b.broker.held(), early + 2);
+}
+
+TEST(Pool, KeepsNoEntryForAHostWithoutConnections) {
+  Pool<int> pool;
+  int a = 1;
+  for (std::uint32_t i = 0; i < 100; ++i) pool.put(HostId{i}, &a, Time(i));
+  EXPECT_EQ(pool.retire(Time(90)).size(), 90U);
+  EXPECT_EQ(pool.hosts(), 10U);
+  for (std::uint32_t i = 90; i < 95; ++i) EXPECT_EQ(pool.take(HostId{i}), &a);
+  while (pool.oldest()) {}
+  EXPECT_EQ(pool.hosts(), 0U);
+}
+
 }  // namespace
 }  // namespace cedarring::test
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -273,6 +273,24 @@
   }
 }
 
+TEST(Gateway, AConnectionToWhereAHostNoLongerIsServesNoMore) {
+  Fleet f;
+  PgStandIn elsewhere, newcomer;
+  elsewhere.primary = true;
+  ASSERT_TRUE(f.discovery->wait_watches(1));
+  PgClient held(f.program->pg()), c(f.program->pg());
+  f.primary.act = Act::hold;
+  held.socket.send(pg_query(statement("a1", "pay")));
+  ASSERT_TRUE(f.primary.wait_for(1));
+  f.discovery->tell(
+      list_of(2, {member("p", elsewhere.address(), true), member("n", newcomer.address(), false)}, false));
+  for (int i = 0; newcomer.count() == 0 && i < 2000; ++i)
+    c.query(statement("r" + std::to_string(i), "history"));
+  f.primary.act = Act::serve;
+  EXPECT_EQ(held.read_answer().value, "from " + f.primary.address());  // it is finished there
+  EXPECT_EQ(held.query(statement("a2", "pay")).value, "from " + elsewhere.address());
+}
+
 TEST(Gateway, AnIdOfAnotherOpenRequestReachesNoHost) {
   Fleet f;
   f.primary.act = Act::hang;
--- a/tests/mysql_test.cpp
+++ b/tests/mysql_test.cpp
@@ -270,5 +270,40 @@
   EXPECT_EQ(l.all(), 0U);
 }
 
+/// A packet of a stand-in's raw answer.
+std::string packet(std::uint8_t sequence, const std::string& payload) {
+  std::string out;
+  my::put_packet(out, sequence, payload);
+  return out;
+}
+
+TEST(Mysql, ASpoiltAnswerIsAFailureAndALeftOverOneNobodys) {
+  Ledger l;
+  MysqlRaw c(l.program->mysql());
+  std::string column;
+  for (const auto* text : {"def", "main", "records", "records", "v", "v"}) my::put_lenenc_text(column, text);
+  column += std::string("\x0c\x2d\0\0\1\0\0\xfd\0\0\0\0\0", 13);
+  const auto begun = packet(1, "\1") + packet(2, column) + packet(3, "\4mine");
+  const auto whole = begun + packet(4, my::ok_packet({}, 0xfe, true));
+  int i = 0;
+  for (const auto& spoilt : {begun + packet(4, my::error_packet({1040, "08004", "full"})),
+                             begun + packet(9, my::ok_packet({}, 0xfe, true)), packet(7, "\1")}) {
+    l.a.raw = spoilt;
+    l.a.act = Act::raw;
+    c.command(my::query_packet({}, statement("s" + std::to_string(++i), "pay")));
+    EXPECT_EQ(c.read_error().code, 1105) << i;  // it may have run
+    EXPECT_EQ(l.all(), static_cast<std::size_t>(i));
+  }
+  l.a.raw = whole + whole;
+  l.a.act = Act::raw;
+  c.socket.send(packet(0, my::query_packet({}, statement("a1", "pay"))) +
+                packet(0, my::query_packet({}, statement("a2", "pay"))));
+  for (const auto& value : {std::string("mine"), "from " + l.a.address()}) {
+    c.read_packet(), c.read_packet();
+    EXPECT_EQ(c.read_packet().value_or("").substr(1), value);
+    c.read_packet();
+  }
+}
+
 }  // namespace
 }  // namespace cedarring::test
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -238,6 +238,10 @@
     };
     switch (arrived(id_of(sql))) {
       case Act::raw: s.send(raw); break;
+      case Act::hold:
+        while (act == Act::hold) std::this_thread::sleep_for(1ms);
+        s.send(answer());
+        break;
       case Act::serve: s.send(answer()); break;
       case Act::serve_last: s.send(answer(), true); return;
       case Act::mute:
@@ -315,6 +319,7 @@
     }
     switch (arrived(attribute_id.empty() ? id_of(sql) : attribute_id)) {
       case Act::raw: s.send(raw); break;
+      case Act::hold:
       case Act::serve_last:
       case Act::serve: rows(row); break;
       case Act::mute:
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -45,8 +45,8 @@
 };
 
 // serve_last: and closes; mute: welcomes nobody; reset_once: serves from then on
-// raw: says `raw`, once
-enum class Act { raw, serve, serve_last, mute, hang, reset, reset_once, full, miss, error };
+// raw: says `raw`, once; hold: serves once it is told another act
+enum class Act { raw, hold, serve, serve_last, mute, hang, reset, reset_once, full, miss, error };
 
 /// A host that counts what it is asked to run. One thread a connection; all are joined at the end.
 class Host {
