Tests: the bytes that a stand-in says once are kept under its lock

Seen: one ctest of eight failed in Mysql.ASpoiltAnswerIsAFailureAndALeftOverOneNobodys, 61 of 600 runs of it alone with 24 at a time. ASan names it: the test set the stand-in's next bytes while its thread was still inside send() with the last. Ruled out: the gateway; it had answered already, which is what let the test go on.

--- a/tests/mysql_test.cpp
+++ b/tests/mysql_test.cpp
@@ -288,14 +288,12 @@
   int i = 0;
   for (const auto& spoilt : {begun + packet(4, my::error_packet({1040, "08004", "full"})),
                              begun + packet(9, my::ok_packet({}, 0xfe, true)), packet(7, "\1")}) {
-    l.a.raw = spoilt;
-    l.a.act = Act::raw;
+    l.a.say_once(spoilt);
     c.command(my::query_packet({}, statement("s" + std::to_string(++i), "pay")));
     EXPECT_EQ(c.read_error().code, 1105) << i;  // it may have run
     EXPECT_EQ(l.all(), static_cast<std::size_t>(i));
   }
-  l.a.raw = whole + whole;
-  l.a.act = Act::raw;
+  l.a.say_once(whole + whole);
   c.socket.send(packet(0, my::query_packet({}, statement("a1", "pay"))) +
                 packet(0, my::query_packet({}, statement("a2", "pay"))));
   for (const auto& value : {std::string("mine"), "from " + l.a.address()}) {
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -147,6 +147,17 @@
   changed_.notify_all();
 }
 
+void Host::say_once(const std::string& bytes) {
+  const std::lock_guard lock(mutex_);
+  raw_ = bytes;
+  act = Act::raw;
+}
+
+std::string Host::raw() {
+  const std::lock_guard lock(mutex_);
+  return raw_;
+}
+
 std::string Host::health() const {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count() - 20;
@@ -204,10 +215,6 @@
 
 }  // namespace
 
-void PgStandIn::say_once(const std::string& bytes) {
-  raw = bytes;
-  act = Act::raw;
-}
 std::string PgStandIn::row(const std::string& value) { return pg_row(value); }
 std::string PgStandIn::message(char type, const std::string& body) { return pg_message(type, body); }
 
@@ -237,7 +244,7 @@
              status("lsn_ms", now_ms()) + ready;
     };
     switch (arrived(id_of(sql))) {
-      case Act::raw: s.send(raw); break;
+      case Act::raw: s.send(raw()); break;
       case Act::hold:
         while (act == Act::hold) std::this_thread::sleep_for(1ms);
         s.send(answer());
@@ -318,7 +325,7 @@
       continue;
     }
     switch (arrived(attribute_id.empty() ? id_of(sql) : attribute_id)) {
-      case Act::raw: s.send(raw); break;
+      case Act::raw: s.send(raw()); break;
       case Act::hold:
       case Act::serve_last:
       case Act::serve: rows(row); break;
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -45,7 +45,7 @@
 };
 
 // serve_last: and closes; mute: welcomes nobody; reset_once: serves from then on
-// raw: says `raw`, once; hold: serves once it is told another act
+// raw: what say_once() set; hold: serves once it is told another act
 enum class Act { raw, hold, serve, serve_last, mute, hang, reset, reset_once, full, miss, error };
 
 /// A host that counts what it is asked to run. One thread a connection; all are joined at the end.
@@ -55,7 +55,7 @@
   virtual ~Host() = default;
   [[nodiscard]] const std::string& address() const { return address_; }
   std::atomic<Act> act{Act::serve};
-  std::string raw;  // set before act
+  void say_once(const std::string& bytes);  // in place of its next answer
   std::atomic<bool> primary{false};
   /// What came: the id of each request, in order of arrival.
   std::vector<std::string> seen();
@@ -71,6 +71,7 @@
   void hang(Socket& socket);
   std::string health() const;
   void count_prepare();
+  std::string raw();
 
  private:
   void accept_all();
@@ -81,6 +82,7 @@
   std::vector<std::string> seen_;
   std::size_t ended_ = 0, prepared_ = 0;
   bool stopping_ = false;
+  std::string raw_;
   std::list<std::shared_ptr<Socket>> sockets_;
   std::vector<std::thread> threads_;
   std::thread accepting_;
@@ -88,7 +90,6 @@
 
 class PgStandIn : public Host {
  public:
-  void say_once(const std::string& bytes);  // in place of its next answer
   /// The messages of an answer with this value.
   static std::string row(const std::string& value);
   static std::string message(char type, const std::string& body);
