Count a request's time from its last byte, and let answered commands free their place

Commands behind them stood unparsed in the buffer, and their deadline began only when they were taken off it: they got their time twice. The MySQL front takes one command at a time and had the same fault.

Change: a client notes when its bytes came (64 marks at most), and the broker counts the deadline from the last byte of the command; one whose time is up at its turn is refused, nothing of it has run. Only commands that are out count against the 16; answers that wait are bounded apart, by 256 and by bytes.

--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -28,15 +28,17 @@
   if (!budgets_.empty() && budget == budgets_.end()) return Rejection::unknown_tenant;
   if (!hosts_.has_group(ask.group)) return Rejection::unknown_group;
   if (requests_.size() >= max_requests_) return Rejection::overfull;
+  const Time now = clock_();
+  const Time deadline = std::min(ask.arrived.value_or(now), now) + ask.time_left;
+  if (deadline <= now) return Rejection::late;
   // Hosts and the rules know a request by it: two at once could be taken for one another.
   if (!names_.insert(ask.name).second) return Rejection::name_in_use;
-  const Time now = clock_();
   id = RequestId{next_request_++};
   auto& r = requests_[id.value];
   r.front = &front;
   r.name = ask.name;
   r.work = ask.work;
-  r.deadline = now + ask.time_left;
+  r.deadline = deadline;
   if (budget != budgets_.end()) {
     r.budget = &*budget;
     ++budget->asked;
@@ -46,7 +48,7 @@
   event.request = id;
   event.cls = ClassId{static_cast<std::int32_t>(contract - contracts_.begin())};
   event.group = ask.group;
-  event.time_left = ask.time_left;
+  event.time_left = deadline - now;
   event.session = ask.session;
   // A commit from a clock ahead of ours still is a write that the read has to see: never an age of zero.
   if (ask.after) event.token_age = std::max(now - *ask.after, Duration(1));
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -27,7 +27,8 @@
   std::string contract;  // the class's name
   std::string tenant;
   GroupId group;
-  Duration time_left{};
+  Duration time_left{};         // that its client waits, counted from `arrived`
+  std::optional<Time> arrived;  // when its last byte came; absent: now
   std::optional<SessionId> session;
   std::optional<Time> after;  // the position that the read has to see
   std::shared_ptr<const Work> work;
@@ -89,7 +90,8 @@
   bool draw(Time now);
 };
 
-enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, name_in_use, overfull };
+/// late: its time ran out before its turn came, nothing has run.
+enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, name_in_use, overfull, late };
 
 class Broker {
  public:
@@ -107,6 +109,7 @@
   void list_failed();
   void timer_fired();
 
+  [[nodiscard]] Time now() const { return clock_(); }
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
   /// How many entries are held (requests, hosts, the router's own): it stays bounded.
   [[nodiscard]] std::size_t held() const {
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -11,6 +11,7 @@
 constexpr double command_most = 2.5, unread_most = 10, linger_most = 1, idle_least = 2;
 // A usual client's startup comes with its connection, its first command soon after.
 constexpr double mute_least = 0.05, slow_least = 1;
+constexpr std::size_t answered_most = 256, marks_most = 64;
 constexpr std::size_t discard_most = 256 * 1024, lingering_most = 24;
 
 }  // namespace
@@ -21,6 +22,7 @@
       since_(loop.now()) {}
 
 void Client::reply(std::string bytes) {
+  held_ += bytes.size();
   slots_.push_back({{}, false, std::move(bytes)});
   flush_answers();
 }
@@ -30,6 +32,7 @@
   while (!slots_.empty() && !slots_.front().open) {
     const auto slot = std::move(slots_.front());
     slots_.pop_front();
+    held_ -= slot.out.size();
     // A client that does not read its answers is not waited for.
     if (!write(slot.out)) return leave();
   }
@@ -50,7 +53,10 @@
 }
 
 void Client::on_input() {
-  if (!closing_) return take();
+  if (!closing_) {
+    stamp();
+    return take();
+  }
   discarded_ += in_.size();
   in_.clear();
   if (discarded_ > discard_most) leave();
@@ -90,13 +96,36 @@
   if (at_rest() && in_.empty()) leave();
 }
 
+/// Notes when what has just been read came. Full, the last mark takes it in: its older time only makes a
+/// deadline earlier.
+void Client::stamp() {
+  received_ += in_.size() - left_;
+  left_ = in_.size();
+  if (marks_.size() < marks_most) marks_.emplace_back(received_, owner_.broker().now());
+  else marks_.back().first = received_;
+}
+
+/// When the last byte of the command just taken off the buffer came.
+Time Client::arrival() {
+  const auto end = received_ - in_.size();
+  while (!marks_.empty() && marks_.front().first < end) marks_.pop_front();
+  return marks_.empty() ? owner_.broker().now() : marks_.front().second;
+}
+
+/// One silent host must not hold up the commands behind: of those only what is out at hosts counts as in work.
+bool Client::room_for_one() const {
+  return open_ < depth() && (depth() == 1 || (slots_.size() < answered_most && held_ < in_most()));
+}
+
 /// A command that waits for the one before it would have its time run out behind it. The guard keeps an
 /// answer that comes at once from taking the next command inside this one.
 void Client::take() {
   if (taking_) return;
   taking_ = true;
-  while (!closed() && !last_ && slots_.size() < depth() && take_one()) {}
+  while (!closed() && !last_ && room_for_one() && take_one()) {}
   taking_ = false;
+  left_ = in_.size();
+  if (in_.empty()) marks_.clear();
   if (closed() || closing_) return;
   if (draining_ && at_rest() && in_.empty()) return leave();
   const bool half = slots_.empty() && !in_.empty();
@@ -112,12 +141,14 @@
   ask.tenant = info.tenant;
   ask.group = GroupId{*info.cluster};
   ask.time_left = std::chrono::milliseconds(*info.deadline_ms);
+  ask.arrived = arrival();
   if (!info.session.empty()) ask.session = session_of(info.session);
   if (info.after_ms) ask.after = std::chrono::milliseconds(*info.after_ms);
   ask.work = std::move(work);
   slots_.push_back({{}, true, {}});
+  ++open_;
   const auto rejection = owner_.broker().accept(ask, *this, slots_.back().request);
-  if (rejection != memory::Rejection::none) slots_.pop_back();
+  if (rejection != memory::Rejection::none) slots_.pop_back(), --open_;
   return rejection;
 }
 
@@ -126,8 +157,10 @@
                                  [&](const Slot& s) { return s.open && s.request == request; });
   if (slot == slots_.end()) return;
   slot->open = false;
+  --open_;
   since_ = loop_.now();
   put_answer(std::move(answer), slot->out);
+  held_ += slot->out.size();
   flush_answers();
   if (!closed()) take();
 }
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -39,7 +39,8 @@
   /// Takes one command off in_; false if there is none whole or the connection is done with.
   virtual bool take_one() = 0;
   virtual void put_answer(memory::FinalAnswer answer, std::string& out) = 0;
-  /// How many commands may be in work at once, where the protocol lets clients send on.
+  /// How many commands may be in work at once, where the protocol lets clients send on. Answers that wait
+  /// behind an earlier one are no longer in work: they are bounded apart, by number and by bytes.
   [[nodiscard]] virtual std::size_t depth() const { return 1; }
   /// No command is in work.
   [[nodiscard]] bool at_rest() const { return slots_.empty() && !closing_ && !last_ && out_.empty(); }
@@ -63,6 +64,9 @@
   void on_end(int error) final;
   void on_sent() final;
   void take();
+  void stamp();
+  [[nodiscard]] bool room_for_one() const;
+  [[nodiscard]] Time arrival();
   ClientSet& owner_;
   /// A command's answer, once it is there.
   struct Slot {
@@ -71,6 +75,13 @@
     std::string out;
   };
   std::deque<Slot> slots_;  // in the order of commands; the first is open
+  std::size_t open_ = 0;    // of them, those that wait for their answer
+  std::size_t held_ = 0;    // bytes of the answers that wait behind an earlier one
+  /// When the bytes of the input came, up to which offset: a command's time counts from its last byte, not
+  /// from when it is taken off the buffer. Bounded; past that later bytes count as come with the last mark.
+  std::deque<std::pair<std::uint64_t, Time>> marks_;
+  std::uint64_t received_ = 0;  // bytes ever
+  std::size_t left_ = 0;        // in the buffer when it was last looked at
   bool last_ = false;       // the last slot holds our last word
   bool closing_ = false, draining_ = false, taking_ = false;
   bool spoke_ = false, half_ = false;  // half: a part of a command has come
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -66,6 +66,7 @@
   /// After this on_input comes again only once the buffer has room: for owners that stop taking input.
   void input_taken() { interest(); }
   [[nodiscard]] bool connecting() const { return connecting_; }
+  [[nodiscard]] std::size_t in_most() const { return in_.most(); }
 
   ev::loop_ref loop_;
   RingBuffer in_, out_;
--- a/src/wire/mysql_client.cpp
+++ b/src/wire/mysql_client.cpp
@@ -293,6 +293,8 @@
     case memory::Rejection::unknown_group: return error(1049, "42000", "unknown group in cluster");
     case memory::Rejection::name_in_use: return error(1210, "HY000", "id of another open request");
     case memory::Rejection::overfull: return error(1040, "08004", "Too many requests");
+    case memory::Rejection::late:
+      return error(3168, "HY000", "Its time ran out before its turn, nothing has run");
   }
 }
 
--- a/src/wire/pg_client.cpp
+++ b/src/wire/pg_client.cpp
@@ -96,6 +96,7 @@
     case memory::Rejection::unknown_group: return refuse("3D000", "unknown group in cluster");
     case memory::Rejection::name_in_use: return refuse("08P01", "id of another open request");
     case memory::Rejection::overfull: return refuse("53300", "too many requests");
+    case memory::Rejection::late: return refuse("53300", "its time ran out before its turn, nothing has run");
   }
 }
 
--- a/src/wire/ring_buffer.h
+++ b/src/wire/ring_buffer.h
@@ -21,6 +21,7 @@
 
   [[nodiscard]] std::size_t size() const { return size_; }
   [[nodiscard]] std::size_t capacity() const { return capacity_; }
+  [[nodiscard]] std::size_t most() const { return most_; }
   [[nodiscard]] bool empty() const { return size_ == 0; }
   /// Bytes of all ring buffers of the process: what the memory limit is kept by.
   static std::size_t total() { return total_; }
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -132,6 +132,21 @@
   b.ask("pay", Rejection::none, "acme", 1, "x");
 }
 
+TEST(Broker, TimeCountsFromTheArrivalAndNoneLeftIsNoRequest) {
+  Bench b;
+  Ask a;
+  a.contract = "pay", a.tenant = "acme", a.group = GroupId{1}, a.time_left = 1s;
+  RequestId id;
+  a.name = "x", a.arrived = b.now - 400ms;
+  EXPECT_EQ(b.broker.accept(a, b.front, id), Rejection::none);
+  EXPECT_EQ(b.upstream.started.at(0).stop_at, b.now + 600ms);
+  a.name = "y", a.arrived = b.now - 1s;
+  EXPECT_EQ(b.broker.accept(a, b.front, id), Rejection::late);
+  a.name = "z", a.arrived = b.now + 1h;  // never later than now
+  EXPECT_EQ(b.broker.accept(a, b.front, id), Rejection::none);
+  EXPECT_LE(b.upstream.started.at(1).stop_at, b.now + 1s);
+}
+
 TEST(Broker, OneFinalAnswerEachAndNothingIsKept) {
   Bench b;
   for (const auto outcome : {Outcome::ok, Outcome::error, Outcome::reset, Outcome::timeout, Outcome::full}) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -316,6 +316,38 @@
   EXPECT_TRUE(c.socket.ended_in_order());
 }
 
+TEST(Gateway, AnswersBehindASilentHostDoNotHoldUpTheCommandsBehindThem) {
+  Fleet f;
+  f.primary.act = Act::hang;
+  PgClient c(f.program->pg());
+  std::string all = pg_query(statement("a0", "pay", 9000));
+  for (int i = 1; i <= 40; ++i) all += pg_query(statement("a" + std::to_string(i), "history"));
+  c.socket.send(all);
+  const auto reads = [&] { return f.left.count() + f.right.count() + f.primary.count() - 1; };
+  ASSERT_TRUE(f.primary.wait_for(1));
+  for (int i = 0; reads() < 40 && i < 1000; ++i) std::this_thread::sleep_for(5ms);
+  EXPECT_GE(reads(), 40U);  // with the first still out: its answer is due in 9 s
+}
+
+TEST(Gateway, ADeadlineCountsFromTheLastByteNotFromTheTurn) {
+  Fleet f;
+  f.act(Act::hang);
+  PgClient c(f.program->pg());
+  std::string all;
+  const auto add = [&](int i, const char* contract, int ms) {
+    all += pg_query(statement("a" + std::to_string(i), contract, ms));
+  };
+  for (int i = 0; i < 10; ++i) add(i, "pay", 700);
+  for (int i = 10; i < 16; ++i) add(i, "history", 2000);  // as many as may be in work: the next one waits
+  add(16, "pay", 700);
+  c.socket.send(all);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(c.read_answer().code, "58000") << i;
+  for (int i = 10; i < 16; ++i) EXPECT_EQ(c.read_answer().types, "EZ") << i;
+  EXPECT_EQ(c.read_answer().code, "53300");  // its turn came when its time was up: it never ran
+  const auto seen = f.primary.seen();
+  EXPECT_EQ(std::count(seen.begin(), seen.end(), "a16"), 0);
+}
+
 TEST(Gateway, APipeliningClientThatLeavesEndsAllItsAttempts) {
   Fleet f;
   f.act(Act::hang);
--- a/tests/mysql_test.cpp
+++ b/tests/mysql_test.cpp
@@ -240,6 +240,21 @@
   EXPECT_EQ(l.all(), 1U);
 }
 
+TEST(Mysql, ADeadlineCountsFromTheLastByteNotFromTheTurn) {
+  Ledger l;
+  l.a.act = Act::hang;
+  MysqlRaw c(l.program->mysql());
+  std::string both;
+  for (const auto* id : {"e1", "e2"}) {
+    std::uint8_t sequence = 0;
+    my::put_packet(both, sequence, my::query_packet({}, statement(id, "pay", 600)));
+  }
+  c.socket.send(both);
+  EXPECT_EQ(c.read_error().code, 3024);
+  EXPECT_EQ(c.read_error().code, 3168);  // its time was up with the first one's: it never ran
+  EXPECT_EQ(l.all(), 1U);
+}
+
 TEST(Mysql, ADrainFinishesWhatIsHeld) {
   Ledger l;
   l.a.act = Act::hang;
