Let idle clients stay the shorter the fuller the places are

Change: a rule in memory::Places in place of a number. Up to a sixth of the places nothing is closed; from there an idle client may stay for 2 s, falling evenly to 0.15 s at a third. The longest idle goes first, none with a request or half a command, and each one closed gives the others more time, so that no more go than brings the share back.

--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 // Seconds. Clients are owed a close within 3 s of connecting where they say nothing whole.
-constexpr double command_most = 2.5, unread_most = 10, linger_most = 1, idle_least = 2;
+constexpr double command_most = 2.5, unread_most = 10, linger_most = 1;
 // A usual client's startup comes with its connection, its first command soon after.
 constexpr double mute_least = 0.05, slow_least = 1;
+constexpr double sweep_every = 0.05;  // well under the shortest time that an idle client may stay
 constexpr std::size_t answered_most = 256, marks_most = 64;
 constexpr std::size_t discard_most = 256 * 1024, lingering_most = 24;
 
@@ -71,10 +72,8 @@
 }
 
 bool Client::evictable(ev::tstamp now) const {
-  if (!at_rest()) return false;
-  const auto waited = now - since_;
-  if (spoke_) return !half_ && waited > idle_least;
-  return waited > (silent() ? mute_least : slow_least);
+  if (spoke_) return idle();
+  return at_rest() && now - since_ > (silent() ? mute_least : slow_least);
 }
 
 void Client::leave() {
@@ -181,7 +180,7 @@
   io_.start(listener_.get(), ev::READ);
   rest_.set<ClientSet, &ClientSet::rested>(this);
   sweep_.set<ClientSet, &ClientSet::sweep>(this);
-  sweep_.start(0.25, 0.25);
+  sweep_.start(sweep_every, sweep_every);
 }
 
 void ClientSet::drain() {
@@ -214,22 +213,40 @@
   for (const auto& [key, c] : clients_)
     if (c->overdue(loop_.now())) late.push_back(key);
   for (auto* client : late) client->leave();
-  // Clients that ask once and stay use up what clients may hold together long before they use up our places.
-  while (clients_.size() - lingering_ > most_ / 6 && evict(true)) {}
+  retire_idle();
+}
+
+/// Closes idle clients, the longest idle first, for as long as their places are wanted: each one closed gives
+/// the others more time.
+void ClientSet::retire_idle() {
+  if (!places_.gives_way(Duration::max(), taken(), most_)) return;
+  std::vector<Client*> idle;
+  for (const auto& [key, c] : clients_)
+    if (c->idle()) idle.push_back(key);
+  std::sort(idle.begin(), idle.end(), [](const Client* a, const Client* b) { return a->since() < b->since(); });
+  for (auto* client : idle) {
+    if (!places_.gives_way(idle_time(*client), taken(), most_)) return;
+    client->leave();
+  }
+}
+
+Duration ClientSet::idle_time(const Client& client) const {
+  return Duration(static_cast<std::int64_t>((loop_.now() - client.since()) * 1e6));
 }
 
 /// Whether there is a place for one more.
-bool ClientSet::make_room() { return clients_.size() - lingering_ < most_ || evict(false); }
+bool ClientSet::make_room() { return taken() < most_ || evict(); }
 
 /// Closes the client that has waited longest without a use for its place, those first that have never said a
-/// command, unless only `idle` ones are meant.
-bool ClientSet::evict(bool idle) {
+/// command.
+bool ClientSet::evict() {
   Client* first = nullptr;
   const auto before = [](const Client* a, const Client* b) {
     return a->has_spoken() != b->has_spoken() ? !a->has_spoken() : a->since() < b->since();
   };
   for (const auto& [key, c] : clients_)
-    if (c->evictable(loop_.now()) && (c->has_spoken() || !idle) && (!first || before(key, first)))
+    if (c->evictable(loop_.now()) && (!c->idle() || places_.gives_way(idle_time(*c), taken(), most_)) &&
+        (!first || before(key, first)))
       first = key;
   if (first) first->leave();
   return first != nullptr;
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "memory/broker.h"
+#include "memory/places.h"
 #include "wire/connection.h"
 #include "wire/statement.h"
 
@@ -25,7 +26,9 @@
   /// Whether it has kept us waiting for longer than anyone may: without a command, with half of one, with an
   /// answer that it does not read, or for the end after our last word.
   [[nodiscard]] bool overdue(ev::tstamp now) const;
-  /// Whether it may make room for another when there is none.
+  /// Has spoken, and has neither a request nor half a command with us.
+  [[nodiscard]] bool idle() const { return spoke_ && !half_ && at_rest(); }
+  /// Whether it may make room for another when there is none; an idle one, once it has stayed long enough.
   [[nodiscard]] bool evictable(ev::tstamp now) const;
   [[nodiscard]] bool closing() const { return closing_; }
   [[nodiscard]] bool has_spoken() const { return spoke_; }
@@ -109,7 +112,10 @@
   void rested(ev::timer&, int) { io_.start(); }
   void sweep(ev::timer&, int);
   bool make_room();
-  bool evict(bool idle);
+  bool evict();
+  void retire_idle();
+  [[nodiscard]] std::size_t taken() const { return clients_.size() - lingering_; }
+  [[nodiscard]] Duration idle_time(const Client& client) const;
   ev::loop_ref loop_;
   Reaper& reaper_;
   memory::Broker& broker_;
@@ -118,6 +124,7 @@
   Fd listener_;
   ev::io io_;
   ev::timer rest_, sweep_;
+  memory::Places places_;
   std::size_t lingering_ = 0;
   std::unordered_map<Client*, std::unique_ptr<Client>> clients_;
 };
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 
+#include "memory/places.h"
 #include "memory/pool.h"
 
 namespace cedarring::test {
@@ -123,6 +124,35 @@
   }
 };
 
+TEST(Places, TheFullerTheShorterAndNothingEarlyWhereThereIsRoom) {
+  const Places p;
+  EXPECT_EQ(p.idle_allowed(0, 120), 2s);
+  EXPECT_EQ(p.idle_allowed(20, 120), 2s);
+  EXPECT_EQ(p.idle_allowed(30, 120), 1075ms);  // half way between the quiet and the tight share
+  EXPECT_EQ(p.idle_allowed(40, 120), 150ms);
+  EXPECT_EQ(p.idle_allowed(120, 120), 150ms);
+  for (std::size_t n = 1; n <= 120; ++n) EXPECT_LE(p.idle_allowed(n, 120), p.idle_allowed(n - 1, 120)) << n;
+  EXPECT_FALSE(p.gives_way(1h, 20, 120));  // up to the quiet share nobody has to go, however long it stays
+  EXPECT_TRUE(p.gives_way(2001ms, 21, 120));
+  EXPECT_FALSE(p.gives_way(1900ms, 21, 120));
+  EXPECT_FALSE(p.gives_way(150ms, 120, 120));
+  EXPECT_TRUE(p.gives_way(151ms, 120, 120));
+}
+
+TEST(Places, ACrowdOfClientsThatAskOnceSettlesWellUnderThePlaces) {
+  const Places p;
+  // 280 new clients a second, each idle until it has to go; 130 places are what a third of 400 descriptors gives.
+  std::deque<Time> since;
+  std::size_t most = 0;
+  for (Time now{}; now < 10s; now += 50ms) {
+    for (int i = 0; i < 14; ++i) since.push_back(now);
+    while (!since.empty() && p.gives_way(now - since.front(), since.size(), 264)) since.pop_front();
+    most = std::max(most, since.size());
+  }
+  EXPECT_LT(most, 130U);
+  EXPECT_GT(since.size(), 40U);  // and no more are closed than that takes
+}
+
 TEST(Broker, ANameIsTakenOnlyOnceAtATime) {
   Bench b;
   b.ask("pay", Rejection::none, "acme", 1, "x");
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -440,11 +440,16 @@
   for (int i = 0; i < 12; ++i) {
     clients.push_back(std::make_unique<PgClient>(program.pg()));
     EXPECT_EQ(clients.back()->query("").types, "IZ");
+    // With half a command none of them is idle: an idle one would have to make room.
+    clients.back()->socket.send(pg_query(statement("a" + std::to_string(i), "pay")).substr(0, 40));
   }
   PgClient next_one(program.pg(), false);
   EXPECT_EQ(next_one.read_answer().code, "53300");
   EXPECT_TRUE(next_one.socket.ended());
-  for (auto& c : clients) EXPECT_EQ(c->query(statement("a1", "pay")).types, "TDCZ");
+  for (int i = 0; i < 12; ++i) {
+    clients[i]->socket.send(pg_query(statement("a" + std::to_string(i), "pay")).substr(40));
+    EXPECT_EQ(clients[i]->read_answer().types, "TDCZ");
+  }
   clients.pop_back();
   std::unique_ptr<PgClient> next;  // its place is free once the gateway has seen it leave
   for (int i = 0; i < 200 && !(next && next->query("").types == "IZ"); ++i)
