Move the decision module to src/router, the settings parser out of the simulator's folder

Need: the house grows, and a reader should guess a line's folder from what it is about. The gateway included the simulator's adapter, only since that held the one parser of settings and reports.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,15 @@
 # Build, test, lint and run. CMake does the work; this names the usual commands.
-.PHONY: all build test lint format run clean
+.PHONY: all setup build test lint format run clean
 
 all: build
 
+# Debian packages that the build and the tests need. As root, or with sudo in front.
+GATEWAY_PACKAGES = cmake make g++ libev-dev libhttp-parser-dev rapidjson-dev
+TEST_PACKAGES = libgtest-dev libmariadb-dev
+setup:
+	dpkg -s $(GATEWAY_PACKAGES) $(TEST_PACKAGES) >/dev/null 2>&1 || \
+	  { apt-get update && apt-get install -y --no-install-recommends $(GATEWAY_PACKAGES) $(TEST_PACKAGES); }
+
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
 	cmake --build build -j4
@@ -11,7 +18,7 @@
 	tests/run
 
 # What is inherited (the module, its adapter and their tests) keeps its own layout.
-SOURCES = $(shell git ls-files 'src/app/*' 'src/memory/*' 'src/wire/*' src/main.cpp 'tests/support/*' \
+SOURCES = $(shell git ls-files 'src/app/*' 'src/memory/*' 'src/wire/*' 'src/router/settings_parser.*' src/main.cpp 'tests/support/*' \
 	tests/broker_test.cpp tests/codec_test.cpp tests/connection_test.cpp tests/gateway_test.cpp tests/mysql_test.cpp \
 	tests/dns_test.cpp)
 
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -8,7 +8,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "sim/adapter.h"
+#include "router/settings_parser.h"
 #include "wire/connection.h"
 #include "wire/discovery.h"
 
@@ -140,7 +140,7 @@
   Time base{};  // positions on sockets are Unix times: nothing is counted from it here
   c.zones.clear();
   try {
-    c.settings = sim::parse_settings(facts, seed, "", c.zones, base);
+    c.settings = parse_settings(facts, seed, "", c.zones, base);
     c.settings.holding_costs =
         true;  // PROTOCOL: refused after half its time and never sent costs 0.3 of its worth
     check(c.settings);
--- a/src/brain.cpp
+++ b/src/router/router.cpp
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "cedarring/router.h"
-#include "state.h"
+#include "router/state.h"
 
 namespace cedarring {
 using namespace state;  // NOLINT(google-build-using-namespace): the module's own records
--- a/src/sim/adapter.h
+++ b/src/sim/adapter.h
@@ -16,21 +16,6 @@
 
 namespace cedarring::sim {
 
-/// A line that cannot be read as what it claims to be.
-class ParseError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
-/// Settings from the pairs of an `enlist` line. Throws std::invalid_argument naming the key.
-Settings parse_settings(std::string_view facts, std::uint64_t seed, std::string_view zone,
-                        std::vector<std::string>& zones, Time& base_time);
-
-/// A load report from name-separator-value pairs set apart by commas; what cannot be read is passed over.
-Report parse_report(std::optional<std::string_view> stats, Time base, char separator = ':');
-/// The same from a socket, where a part that cannot be read puts all of it in doubt: then it tells nothing.
-Report parse_whole_report(std::string_view stats);
-
 class Adapter {
  public:
   Adapter();
--- a/src/wire/mysql_host.cpp
+++ b/src/wire/mysql_host.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
-#include "sim/adapter.h"
+#include "router/settings_parser.h"
 
 namespace cedarring::wire {
 namespace {
@@ -197,7 +197,7 @@
   state_ = State::idle;
   memory::AttemptResult result;
   result.note = note_;
-  if (!job_->attempt) result.report = sim::parse_whole_report(health_);
+  if (!job_->attempt) result.report = parse_whole_report(health_);
   result.value = std::move(answer_);
   finish(std::move(result), true);
   return true;
--- a/src/wire/pg_host.cpp
+++ b/src/wire/pg_host.cpp
@@ -1,6 +1,6 @@
 #include "wire/pg_host.h"
 
-#include "sim/adapter.h"
+#include "router/settings_parser.h"
 #include "wire/pg.h"
 
 namespace cedarring::wire {
@@ -111,7 +111,7 @@
     result.note = note_;
     result.value = std::move(rows_);
   }
-  if (!job_->attempt) result.report = sim::parse_whole_report(health_);
+  if (!job_->attempt) result.report = parse_whole_report(health_);
   finish(std::move(result), true);
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -2,7 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "app/config.h"
-#include "sim/adapter.h"
+#include "router/settings_parser.h"
 #include "support/stand_in.h"
 #include "wire/discovery.h"
 #include "wire/mysql.h"
@@ -85,13 +85,13 @@
 }
 
 TEST(Statement, AReportIsReadWholeOrNotAtAll) {
-  const auto good = sim::parse_whole_report("x0=1767225600.123,x1=1,pending=3");
+  const auto good = parse_whole_report("x0=1767225600.123,x1=1,pending=3");
   EXPECT_EQ(good.position, Time(1'767'225'600'123'000));
   EXPECT_EQ(good.role, Role::primary);
   EXPECT_EQ(good.queue, 3);
   for (const auto* bad : {"", "x0", "x0=1767225600.123,x1=1,pending=", "x0=1,x1=2", "x0=1,x1=1,pending=-1",
                           "x0=1,x0=2", "x0=1,x1=1,\x01\xff", "x0=1e999", "x0=1,,x1=1", "=1"}) {
-    const auto r = sim::parse_whole_report(bad);
+    const auto r = parse_whole_report(bad);
     EXPECT_FALSE(r.position || r.role || r.queue || r.util) << bad;
   }
 }
