Levels: refuse without a primary only what cannot wait for it, enter relief later

Seen in the laboratory: bids that the router would have held until the take-over were refused, came again and were refused once more; and the old primary's return as a cold replica was taken for pressure.

Change: refused is only what would wait for longer than the time it has left (before: half of it); relief is entered at 0.08 refused or 0.10 late for 2.5 s (before: 0.05, 0.08, 1.5 s).

--- a/src/levels/levels.cpp
+++ b/src/levels/levels.cpp
@@ -81,7 +81,7 @@
   if (group != groups_.end()) {
     const auto& c = group->second.table[at];
     // One that the router can hold until the primary is there is better served late than refused.
-    if (c.share > 0 && !(c.only_hopeless && remaining() < ask.time_left / 2)) fault = static_cast<double>(c.share);
+    if (c.share > 0 && !(c.only_hopeless && remaining() < ask.time_left)) fault = static_cast<double>(c.share);
   }
   double share = static_cast<double>(table_[at].share);
   auto why = gates::Reason::class_shed;
@@ -318,7 +318,7 @@
   };
   c.pressure.levels.push_back({"normal", {}, {}, {}, {}, {}});
   if (!current.empty()) {
-    auto relief = level("relief", 0.05, 0.08, ms(1500));
+    auto relief = level("relief", 0.08, 0.10, ms(2500));
     relief.changes.spill = 0.2;  // measured: docs/levels.md
     c.pressure.levels.push_back(std::move(relief));
     auto trim = level("trim", 0.15, 0.25, ms(1500));
