--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 
 # Debian packages that the build and the tests need. As root, or with sudo in front.
 GATEWAY_PACKAGES = cmake make g++ libev-dev libhttp-parser-dev rapidjson-dev libcli11-dev libspdlog-dev \
-  libxxhash-dev libpcg-cpp-dev
-TOOL_PACKAGES = libboost-dev libboost-math-dev libboost-random-dev
+  libxxhash-dev libpcg-cpp-dev libboost-dev tzdata
+TOOL_PACKAGES = libglpk-dev libboost-math-dev libboost-random-dev
 TEST_PACKAGES = libgtest-dev libmariadb-dev librapidcheck-dev libbenchmark-dev spin
 setup:
 	dpkg -s $(GATEWAY_PACKAGES) $(TOOL_PACKAGES) $(TEST_PACKAGES) >/dev/null 2>&1 || \
@@ -21,7 +21,7 @@
 
 # What is inherited (the module, its adapter and their tests) keeps its own layout.
 SOURCES = $(shell git ls-files 'src/app/*' 'src/memory/*' 'src/wire/*' 'src/telemetry/*' 'src/gates/*' \
-	'src/levels/*' 'src/tools/*' 'src/router/settings_parser.*' src/main.cpp 'tests/support/*' \
+	'src/levels/*' 'src/contracts/*' 'src/tools/*' 'src/router/settings_parser.*' src/main.cpp 'tests/support/*' \
 	tests/broker_test.cpp tests/codec_test.cpp tests/connection_test.cpp tests/gateway_test.cpp tests/mysql_test.cpp \
 	tests/dns_test.cpp)
 
--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -191,6 +191,9 @@
   int replicas = 0, lagging = 0; // of them, known no better than past the tightest bound of a class
   int in_flight = 0, waiting = 0;
   double window = 0;  // requests in flight that its hosts are believed to take well, over all
+  int primary_in_flight = 0;  // of these, the primary's; of those waiting, what only the primary can take
+  double primary_window = 0;
+  int primary_waiting = 0;
 };
 /// Factors on the module's own figures, set while service is reduced.
 struct Tuning {
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -200,6 +200,16 @@
   return s;
 }
 
+contracts::Service ServiceConfig::for_contracts() const {
+  contracts::Service s;
+  s.classes = settings.classes;
+  s.tenants = budgets.size();
+  s.max_pause = settings.max_retry_after;
+  s.pauses = settings.retry_after;
+  s.seed = settings.seed ^ 0x7465726d73ULL;
+  return s;
+}
+
 void read_gateway_file(const std::string& text, const std::string& name, Config& c) {
   c.file = parse_gateway_file(text, name);
   if (const auto* mysql = c.file.section("mysql")) {
@@ -219,6 +229,7 @@
     std::vector<std::string> tenants;
     for (const auto& b : service.budgets) tenants.push_back(b.tenant);
     service.levels = levels_of(c.file, front, service.for_levels(), tenants);
+    service.contracts = contracts_of(c.file, front, service.for_contracts(), tenants);
   };
   read(c.platform, "postgresql");
   if (c.mysql) read(*c.mysql, "mysql");
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "app/contracts_config.h"
 #include "app/gateway_file.h"
 #include "app/json_schema.h"
 #include "memory/broker.h"
@@ -21,6 +22,8 @@
   std::vector<memory::Budget> budgets;
   std::vector<std::string> zones;
   std::optional<levels::Config> levels;  // absent: off
+  std::optional<ContractsConfig> contracts;  // absent: off
+  [[nodiscard]] contracts::Service for_contracts() const;
   /// What levels need to know of this service.
   [[nodiscard]] levels::Service for_levels() const;
 };
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -91,8 +91,12 @@
   try {
     const auto c = load_config(true, file_);
     log_.reload(c.file.log);  // the only step that can still fail
+    services_[0]->reload_contracts(c.platform.contracts);
     services_[0]->reload_levels(c.platform.levels);
-    if (c.mysql && services_.size() > 1) services_[1]->reload_levels(c.mysql->levels);
+    if (c.mysql && services_.size() > 1) {
+      services_[1]->reload_contracts(c.mysql->contracts);
+      services_[1]->reload_levels(c.mysql->levels);
+    }
     if (c.file.admin_socket != (admin_ ? admin_->path() : std::string()))
       log_.write(telemetry::Level::warning, "configuration", "another admin socket takes a restart");
     if (c.mysql.has_value() != (services_.size() > 1))
@@ -117,11 +121,17 @@
 std::string Gateway::answer(const std::vector<std::string>& words) {
   const std::string verb = words.empty() ? "" : words[0];
   if (verb == "levels") return answer_levels();
+  if (verb == "contracts") {
+    std::string out = "[";
+    for (const auto& s : services_)
+      if (const auto* c = s->contracts()) out += (out.size() > 1 ? "," : "") + c->status();
+    return out + "]";
+  }
   if (verb == "hosts") return answer_hosts();
   if (verb == "records") return answer_records(words.size() > 1 ? std::strtoul(words[1].c_str(), nullptr, 10) : 50);
   if (verb == "set-level" || verb == "unset-level") return set_level(words);
   if (verb == "help" || verb.empty())
-    return "{\"commands\":[\"levels\",\"hosts\",\"records [N]\",\"set-level FRONT pressure|GROUP LEVEL SECONDS\","
+    return "{\"commands\":[\"levels\",\"contracts\",\"hosts\",\"records [N]\",\"set-level FRONT pressure|GROUP LEVEL SECONDS\","
            "\"unset-level FRONT pressure|GROUP\"]}";
   return error_json("unknown command '" + verb + "'");
 }
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -9,6 +9,7 @@
       clock_(clock),
       log_(log),
       for_levels_(c.for_levels()),
+      for_contracts_(c.for_contracts()),
       known_(c.known),
       upstream_(loop, reaper, clock, {c.settings.connect_timeout, c.settings.idle_close, descriptors / 4},
                 parts.host, [this] { watch(); }),
@@ -23,6 +24,7 @@
   if (!c.zone_updates.empty())
     zone_.emplace(loop, c.zone_updates, c.zone,
                   [this](const memory::MemberList& list) { broker_.listed(list); });
+  if (c.contracts) contracts_.emplace(loop_, front_, *c.contracts, for_contracts_, broker_, clock_, log_);
   if (c.levels) start_levels(*c.levels);
   broker_.start(known_);
 }
@@ -41,6 +43,11 @@
   levels_.emplace(loop_, front_, config, for_levels_, broker_, clock_, std::move(hooks), log_);
 }
 
+void Service::reload_contracts(const std::optional<ContractsConfig>& config) {
+  if (contracts_) return contracts_->reload(config.value_or(ContractsConfig{}));
+  if (config) contracts_.emplace(loop_, front_, *config, for_contracts_, broker_, clock_, log_);
+}
+
 void Service::reload_levels(const std::optional<levels::Config>& config) {
   if (levels_ && config) return levels_->reload(*config);
   if (levels_) {
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "app/config.h"
+#include "app/contracts_runner.h"
 #include "app/levels_runner.h"
 #include "memory/broker.h"
 #include "wire/client.h"
@@ -34,6 +35,8 @@
   [[nodiscard]] const std::string& front() const { return front_; }
   /// Other levels from now on; none: those there were go out of force.
   void reload_levels(const std::optional<levels::Config>& config);
+  void reload_contracts(const std::optional<ContractsConfig>& config);
+  [[nodiscard]] const ContractsRunner* contracts() const { return contracts_ ? &*contracts_ : nullptr; }
   [[nodiscard]] LevelsRunner* levels() { return levels_ ? &*levels_ : nullptr; }
   [[nodiscard]] memory::Broker& broker() { return broker_; }
 
@@ -45,6 +48,7 @@
   memory::Broker::Clock clock_;
   telemetry::Log& log_;
   levels::Service for_levels_;
+  contracts::Service for_contracts_;
   memory::MemberList known_;
   wire::SocketUpstream upstream_;
   memory::Broker broker_;
@@ -52,6 +56,7 @@
   std::optional<wire::DiscoveryWatch> discovery_;
   std::optional<wire::ZoneSource> zone_;
   wire::ClientSet clients_;
+  std::optional<ContractsRunner> contracts_;  // the first gate: what is beyond a contract is what levels shed first
   std::optional<LevelsRunner> levels_;
 };
 
--- /dev/null
+++ b/src/contracts/contracts.cpp
@@ -0,0 +1,380 @@
+#include "contracts/contracts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cedarring::contracts {
+namespace {
+
+constexpr double cost_gain = 0.02;       // of one answer on the learnt cost of its class
+constexpr double flow_memory = 1;        // seconds, of what teams ask of a resource
+constexpr double headroom = 1.05;        // over what a contended resource has served
+constexpr double growth = 1.05;          // of the capacity for each step without contention
+constexpr double cut = 0.9;              // of it for each step in which the router turned work away
+constexpr double lend_growth = 1.02;     // of what is lent beyond contracts, for each step without contention
+constexpr double lent_least = 0.02;      // of what is served: less than this is as good as nothing lent
+constexpr double flow_burst = 0.1;       // seconds of a share that may come at once: lent shares return within that
+constexpr Duration eased{2'000'000};     // without contention, after which nothing is shared out any more
+constexpr Duration flow_kept{10'000'000};
+constexpr std::size_t flows_most = 65536;
+
+double seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
+
+/// A pause behind `wait`, spread over as long again or 100 ms, so that those refused together return apart.
+Duration spread(Duration wait, Duration most, double draw) {
+  const auto width = std::max(std::min(wait, most), Duration(100'000));
+  const auto from = std::clamp(wait, Duration::zero(), std::max(Duration::zero(), most - width / 2));
+  return std::min(most, from + Duration(static_cast<std::int64_t>(static_cast<double>(width.count()) * draw)));
+}
+
+}  // namespace
+
+std::size_t Contracts::FlowHash::operator()(const FlowKey& k) const {
+  auto h = static_cast<std::uint64_t>(k.group) * 0x9e3779b97f4a7c15ULL;
+  h ^= (static_cast<std::uint64_t>(static_cast<std::uint32_t>(k.team)) << 1U | (k.primary ? 1U : 0U)) + (h >> 29U);
+  return h * 0xbf58476d1ce4e5b9ULL;
+}
+
+Contracts::Contracts(Config config, Service service) : service_(std::move(service)), random_(service_.seed) {
+  for (const auto& c : service_.classes)
+    costs_.push_back(std::max(1.0, static_cast<double>(c.aim.count()) / 1000 / 4));  // until answers tell
+  reload(std::move(config), Time{});
+}
+
+bool Contracts::needs_primary(std::size_t cls) const {
+  const auto f = service_.classes[cls].freshness;
+  return f == Freshness::write || f == Freshness::fresh;
+}
+
+std::int32_t Contracts::team_of(std::int32_t tenant) const {
+  return tenant >= 0 && static_cast<std::size_t>(tenant) < team_of_.size()
+             ? team_of_[static_cast<std::size_t>(tenant)]
+             : -1;
+}
+
+const Terms* Contracts::terms(std::size_t team, std::size_t cls, bool closure) const {
+  const auto& c = config_.teams[team].classes[cls];
+  if (!c) return config_.fallback ? &*config_.fallback : nullptr;
+  return closure && c->closure ? &*c->closure : &c->usual;
+}
+
+bool Contracts::closure(Time now) const {
+  const auto after = std::upper_bound(config_.closures.begin(), config_.closures.end(), now,
+                                      [](Time t, const ClosureWindow& w) { return t < w.from; });
+  return after != config_.closures.begin() && now < std::prev(after)->to;
+}
+
+Entry Contracts::total(std::size_t team, std::size_t cls) const {
+  auto sum = booked(team, cls).before;
+  return sum += booked(team, cls).now;
+}
+
+void Contracts::reload(Config config, Time now) {
+  const auto classes = service_.classes.size();
+  std::vector<Cell> cells(config.teams.size() * classes);
+  std::vector<TeamState> teams(config.teams.size());
+  std::vector<std::int32_t> team_of(service_.tenants, -1);
+  const double even = 1.0 / std::max(1U, config.gateways);
+  for (std::size_t t = 0; t < config.teams.size(); ++t) {
+    teams[t].part = even;
+    for (const auto tenant : config.teams[t].tenants)
+      if (tenant >= 0 && static_cast<std::size_t>(tenant) < team_of.size())
+        team_of[static_cast<std::size_t>(tenant)] = static_cast<std::int32_t>(t);
+    // A team that keeps its name keeps what it has used and what was booked.
+    const auto old = std::find_if(config_.teams.begin(), config_.teams.end(),
+                                  [&](const Team& o) { return o.name == config.teams[t].name; });
+    if (old == config_.teams.end()) continue;
+    const auto from = static_cast<std::size_t>(old - config_.teams.begin());
+    teams[t] = teams_[from];
+    for (std::size_t c = 0; c < classes; ++c) cells[t * classes + c] = std::move(at(from, c));
+  }
+  // Shares of teams by their old numbers would be somebody else's now; requests that are open are charged to nobody.
+  flows_.clear();
+  resources_.clear();
+  open_.clear();
+  config_ = std::move(config);
+  cells_ = std::move(cells);
+  teams_ = std::move(teams);
+  team_of_ = std::move(team_of);
+  set_rates(now);
+}
+
+/// Rates as they are in force at this gateway now: the terms' by its part.
+void Contracts::set_rates(Time now) {
+  closure_ = closure(now);
+  for (std::size_t t = 0; t < teams_.size(); ++t)
+    for (std::size_t c = 0; c < service_.classes.size(); ++c) {
+      const auto* terms = this->terms(t, c, closure_);
+      auto& cell = at(t, c);
+      cell.rate = terms ? Rate::of(terms->rate * teams_[t].part, std::max(1.0, terms->burst * teams_[t].part)) : Rate{};
+    }
+}
+
+gates::Verdict Contracts::refuse(gates::Reason why, Duration wait) {
+  gates::Verdict v;
+  v.admitted = false;
+  v.by = gates::Decider::contracts;
+  v.why = why;
+  if (service_.pauses)
+    v.pause = spread(wait, service_.max_pause, static_cast<double>(random_()) * 0x1p-32);
+  return v;
+}
+
+gates::Verdict Contracts::admit(const gates::Ask& ask, Time now) {
+  now = std::max(now, stepped_);
+  const auto team = team_of(ask.tenant);
+  if (config_.mode == Mode::off || team < 0 || ask.cls.value < 0 ||
+      static_cast<std::size_t>(ask.cls.value) >= service_.classes.size())
+    return {};
+  const auto t = static_cast<std::size_t>(team), c = static_cast<std::size_t>(ask.cls.value);
+  auto& cell = at(t, c);
+  auto& book = this->book(cell);
+  ++book.now.asked;
+  cell.demand += 1;
+  const auto* terms = this->terms(t, c, closure_);
+  const bool within = !terms || cell.bucket.conforms(cell.rate, now);
+  ++(within ? book.now.within : book.now.beyond);
+  const double cost = costs_[c];
+  const FlowKey key{ask.group.value, team, needs_primary(c)};
+  auto flow = flows_.find(key);
+  if (flow == flows_.end() && flows_.size() < flows_most) flow = flows_.emplace(key, Flow{}).first;
+  if (flow != flows_.end()) {
+    flow->second.used = now;
+    (within ? flow->second.within : flow->second.beyond) += cost;
+  }
+  gates::Verdict v;
+  v.beyond = !within;
+  if (config_.mode == Mode::enforce) {
+    if (!within && terms->beyond == Beyond::refuse)
+      return refuse(gates::Reason::over_contract, cell.bucket.wait(cell.rate, now));
+    if (flow != flows_.end()) {
+      auto& f = flow->second;
+      const double may = within ? f.may_within : f.may_beyond;
+      auto& bucket = within ? f.within_bucket : f.beyond_bucket;
+      if (may >= 0 && (within || terms->beyond == Beyond::borrow)) {
+        const auto rate = Rate::of(may, std::max(cost, may * flow_burst));
+        if (!bucket.conforms(rate, now))
+          return refuse(within ? gates::Reason::contention : gates::Reason::over_contract, bucket.wait(rate, now));
+        bucket.take(rate, cost, now);
+      }
+    }
+  }
+  if (within && terms) cell.bucket.take(cell.rate, 1, now);
+  book.now.cost += cost;
+  if (!within) book.now.borrowed += cost;
+  open_[ask.request.value] = {cost, !within, !within};
+  return v;
+}
+
+bool Contracts::may_repeat(const gates::Ask& ask, Time now) {
+  const auto team = team_of(ask.tenant);
+  if (config_.mode != Mode::enforce || team < 0) return true;
+  const auto t = static_cast<std::size_t>(team);
+  // As many as a share of what the team asks for here, and a few at once: never out of another team's.
+  double demand = 0;
+  for (std::size_t c = 0; c < service_.classes.size(); ++c) demand += at(t, c).demand;
+  const auto rate = Rate::of(std::max(1.0, demand * config_.retry_share), config_.retry_burst);
+  if (!teams_[t].retries.conforms(rate, now)) return false;
+  teams_[t].retries.take(rate, 1, now);
+  return true;
+}
+
+void Contracts::ended(const gates::Ask& ask, const gates::Ending& ending, Time /*now*/) {
+  const auto team = team_of(ask.tenant);
+  if (config_.mode == Mode::off || team < 0 || ask.cls.value < 0 ||
+      static_cast<std::size_t>(ask.cls.value) >= service_.classes.size())
+    return;
+  const auto t = static_cast<std::size_t>(team), c = static_cast<std::size_t>(ask.cls.value);
+  auto& cell = at(t, c);
+  auto& book = this->book(cell);
+  const auto* terms = this->terms(t, c, closure_);
+  const auto it = open_.find(ask.request.value);
+  const bool admitted = it != open_.end();
+  const bool beyond = admitted && it->second.beyond;
+  const double charged = admitted ? it->second.cost : 0;
+  if (admitted) open_.erase(it);
+  const auto wanted = terms && terms->wanted > Duration::zero() ? terms->wanted : service_.classes[c].aim;
+  bool in_time = false;
+  switch (ending.end) {
+    case gates::End::served:
+      in_time = ending.elapsed <= wanted;
+      ++(in_time ? book.now.in_time : book.now.late);
+      book.times.add(ending.elapsed);
+      break;
+    case gates::End::failed: ++book.now.failed; break;
+    case gates::End::left: ++book.now.left; break;
+    case gates::End::refused:
+      if (ending.by == gates::Decider::levels) ++book.now.refused_levels;
+      else if (ending.by != gates::Decider::contracts) ++book.now.refused_router;
+      else if (ending.why == gates::Reason::contention) ++book.now.refused_contention;
+      else ++book.now.refused_contract;
+      break;
+  }
+  // The gateway's promise is about what was within the contract, and about what it has refused of that in contention.
+  // A client that leaves by itself has not waited for the promise.
+  if (((admitted && !beyond) || ending.why == gates::Reason::contention) && ending.end != gates::End::left) {
+    ++book.now.within_ended;
+    if (in_time) ++book.now.within_in_time;
+  }
+  if (!admitted) return;
+  auto& resource = resources_[{ask.group.value, needs_primary(c)}];
+  if (ending.end == gates::End::refused && ending.by == gates::Decider::router) ++resource.refused;
+  if (ending.end == gates::End::served) {
+    // What an answer took beyond the quick ones is waiting, not work: an expectile on the low side, which a queue
+    // before the hosts moves little.
+    const double took = std::max(0.1, static_cast<double>(ending.elapsed.count()) / 1000);
+    costs_[c] += (took < costs_[c] ? cost_gain : cost_gain / 20) * (std::min(took, costs_[c] * 3) - costs_[c]);
+    resource.served += charged;
+  } else if (!ending.ran) {
+    // What never ran is not the team's to pay.
+    if (!beyond && terms) cell.bucket.give_back(cell.rate, 1);
+    book.now.cost -= charged;
+    if (beyond) book.now.borrowed -= charged;
+  }
+}
+
+std::vector<Scarcity> scarcity(const std::vector<GroupView>& views) {
+  constexpr double full = 0.95;  // of a window
+  std::vector<Scarcity> all;
+  for (const auto& v : views) {
+    const auto tight = [](int waiting, int in_flight, double window) {
+      return waiting > 0 || (window > 0 && in_flight >= full * window);
+    };
+    all.push_back({v.group, true, tight(v.primary_waiting, v.primary_in_flight, v.primary_window)});
+    all.push_back({v.group, false,
+                   tight(v.waiting - v.primary_waiting, v.in_flight - v.primary_in_flight, v.window - v.primary_window)});
+  }
+  return all;
+}
+
+void Contracts::step(Time now, const std::vector<Scarcity>& scarce, std::vector<Breach>& out) {
+  if (!begun_) begun_ = true, stepped_ = window_from_ = now;
+  now = std::max(now, stepped_);
+  const double passed = seconds(now - stepped_);
+  stepped_ = now;
+  if (passed > 0) {
+    const double keep = std::exp(-passed / flow_memory);
+    // A gateway's part: even, until more than that arrives here for a while. It cannot know what arrives elsewhere, so
+    // it never holds more than `part_most` even parts: all gateways together overshoot by that factor at the worst.
+    const double even = 1.0 / std::max(1U, config_.gateways), most = std::min(1.0, even * config_.part_most);
+    const double move = 1 - std::exp(-passed / std::max(0.1, seconds(config_.part_memory)));
+    for (std::size_t t = 0; t < teams_.size(); ++t) {
+      double asked = 0, promised = 0;
+      for (std::size_t c = 0; c < service_.classes.size(); ++c) {
+        auto& cell = at(t, c);
+        cell.demand *= keep;
+        if (const auto* terms = this->terms(t, c, closure_)) asked += cell.demand * costs_[c], promised += terms->rate * costs_[c];
+      }
+      const double wanted = promised > 0 ? std::clamp(asked / flow_memory / promised, even, most) : even;
+      teams_[t].part += (wanted - teams_[t].part) * move;
+    }
+    share(now, scarce);
+    for (auto it = flows_.begin(); it != flows_.end();) {
+      it->second.within *= keep, it->second.beyond *= keep;
+      it = now - it->second.used > flow_kept ? flows_.erase(it) : std::next(it);
+    }
+    for (auto& [key, r] : resources_) r.served *= keep;
+  }
+  set_rates(now);
+  if (now - window_from_ >= config_.window) close_window(now, out);
+}
+
+/// Weighted max-min over teams: first what is within contracts, then, of what that leaves, what is beyond.
+void Contracts::share(Time now, const std::vector<Scarcity>& scarce) {
+  for (const auto& s : scarce) {
+    auto& r = resources_[{s.group.value, s.primary}];
+    std::vector<std::pair<Flow*, std::int32_t>> flows;
+    for (auto& [key, f] : flows_)
+      if (key.group == s.group.value && key.primary == s.primary) flows.emplace_back(&f, key.team);
+    std::sort(flows.begin(), flows.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    const double served = r.served / flow_memory;
+    // Work that was let through and that the router turned away, or windows that are full: more is let through than
+    // there is. What is lent goes first, by half at each step, and comes back slowly; only once next to nothing is lent
+    // is what was promised shared out: a little more than comes back served, cut where the router turns work away.
+    const bool refused = std::exchange(r.refused, 0) > 0, trouble = refused || s.contended;
+    double within = 0, beyond = 0;
+    for (const auto& [f, team] : flows) within += f->within / flow_memory, beyond += f->beyond / flow_memory;
+    const bool lending = (r.lend < 0 ? beyond : std::min(r.lend, beyond)) > lent_least * served;
+    if (trouble) {
+      r.last_contended = now;
+      r.lend = (r.lend < 0 ? beyond : std::min(r.lend, beyond)) / 2;
+    } else if (r.lend >= 0) {
+      r.lend = r.lend * lend_growth + served * lent_least / 10;
+      if (now - r.last_contended > eased && beyond < r.lend) r.lend = -1;
+    }
+    if (trouble && !lending) {
+      if (r.capacity < 0) r.capacity = std::max(1.0, served * headroom);
+      else if (refused) r.capacity = std::max({1.0, served, r.capacity * cut});
+      else r.capacity = std::max(r.capacity, served);
+    } else if (r.capacity >= 0) {
+      r.capacity *= growth;
+      if (now - r.last_contended > eased && within < r.capacity) r.capacity = -1;
+    }
+    std::vector<Claim> claims;
+    for (const auto& [f, team] : flows) {
+      double weight = 0;
+      for (std::size_t c = 0; c < service_.classes.size(); ++c)
+        if (needs_primary(c) == s.primary)
+          if (const auto* terms = this->terms(static_cast<std::size_t>(team), c, closure_))
+            weight = std::max(weight, terms->weight);
+      claims.push_back({f->within / flow_memory, weight > 0 ? weight : 1, 0});
+    }
+    const auto limit = [&](double capacity, double Flow::* may) {
+      if (capacity >= 0) share_out(claims, capacity);
+      for (std::size_t i = 0; i < flows.size(); ++i)
+        flows[i].first->*may = capacity < 0 || claims[i].share >= claims[i].demand ? -1 : claims[i].share;
+    };
+    limit(r.capacity, &Flow::may_within);
+    for (std::size_t i = 0; i < flows.size(); ++i) claims[i].demand = flows[i].first->beyond / flow_memory;
+    limit(r.lend, &Flow::may_beyond);
+  }
+}
+
+void Contracts::close_window(Time now, std::vector<Breach>& out) {
+  for (std::size_t t = 0; t < teams_.size(); ++t)
+    for (std::size_t c = 0; c < service_.classes.size(); ++c) {
+      if (!at(t, c).book) continue;
+      auto& book = *at(t, c).book;
+      if (const auto* terms = this->terms(t, c, closure_)) {
+        if (book.now.beyond > 0)
+          out.push_back({t, c, Side::team, window_from_, now, book.now.beyond, terms->rate * teams_[t].part,
+                         static_cast<double>(book.now.asked) / std::max(0.001, seconds(now - window_from_)), closure_});
+        const auto ended = book.now.within_ended;
+        const double got = ended > 0 ? static_cast<double>(book.now.within_in_time) / static_cast<double>(ended) : 1;
+        if (got < terms->share)
+          out.push_back({t, c, Side::gateway, window_from_, now, ended - book.now.within_in_time, terms->share, got, closure_});
+      }
+      book.before += book.now;
+      book.now = {};
+    }
+  window_from_ = now;
+}
+
+std::optional<Flaw> find_flaw(const Config& config, const Service& service) {
+  std::vector<std::int32_t> owner(service.tenants, -1);
+  for (std::size_t t = 0; t < config.teams.size(); ++t) {
+    const auto at = "/teams/" + std::to_string(t);
+    const auto& team = config.teams[t];
+    for (std::size_t o = 0; o < t; ++o)
+      if (config.teams[o].name == team.name) return Flaw{at + "/name", "taken by another team"};
+    for (const auto tenant : team.tenants) {
+      if (tenant < 0 || static_cast<std::size_t>(tenant) >= owner.size()) return Flaw{at + "/tenants", "no such tenant"};
+      if (owner[static_cast<std::size_t>(tenant)] >= 0) return Flaw{at + "/tenants", "a tenant of two teams"};
+      owner[static_cast<std::size_t>(tenant)] = static_cast<std::int32_t>(t);
+    }
+    if (team.classes.size() != service.classes.size()) return Flaw{at + "/classes", "not one entry a class"};
+    for (const auto& c : team.classes)
+      if (c)
+        for (const auto* terms : {&c->usual, c->closure ? &*c->closure : &c->usual})
+          if (!(terms->rate >= 0) || !(terms->burst >= 1) || !(terms->weight > 0) || !(terms->share > 0 && terms->share <= 1))
+            return Flaw{at + "/classes", "rate from 0, burst from 1, weight above 0, share above 0 and at most 1"};
+  }
+  for (std::size_t i = 0; i < config.closures.size(); ++i)
+    if (config.closures[i].to <= config.closures[i].from || (i > 0 && config.closures[i].from < config.closures[i - 1].to))
+      return Flaw{"/calendar", "closures that overlap or end before they begin"};
+  if (config.gateways < 1) return Flaw{"/gateways", "at least one"};
+  return std::nullopt;
+}
+
+}  // namespace cedarring::contracts
--- /dev/null
+++ b/src/contracts/contracts.h
@@ -0,0 +1,157 @@
+// Contracts between teams, enforced: the gate that keeps each team to its terms, shares out what is scarce, and books
+// what became of every request. A state machine: requests and times in, verdicts out.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <pcg_random.hpp>
+#include <unordered_map>
+#include <vector>
+
+#include "contracts/fair_share.h"
+#include "contracts/gcra.h"
+#include "contracts/ledger.h"
+#include "contracts/terms.h"
+#include "gates/gate.h"
+
+namespace cedarring::contracts {
+
+/// What contracts need to know of the service. Set once.
+struct Service {
+  std::vector<RequestClass> classes;
+  std::size_t tenants = 0;
+  Duration max_pause{500'000};
+  bool pauses = true;
+  std::uint64_t seed = 0;
+};
+
+/// What a group's primary, or its replicas together, can bear just now.
+struct Scarcity {
+  GroupId group;
+  bool primary = false;
+  bool contended = false;  // its windows are full, or requests wait for it
+};
+
+/// What a router's view says of it.
+std::vector<Scarcity> scarcity(const std::vector<GroupView>& views);
+
+class Contracts : public gates::Gate {
+ public:
+  Contracts(Config config, Service service);
+
+  gates::Verdict admit(const gates::Ask& ask, Time now) override;
+  void ended(const gates::Ask& ask, const gates::Ending& ending, Time now) override;
+  /// Whether the team may have a further attempt made for this request; the first is free.
+  bool may_repeat(const gates::Ask& ask, Time now) override;
+
+  /// Shares out what is scarce, moves this gateway's parts and closes windows. To be called every 100 ms.
+  void step(Time now, const std::vector<Scarcity>& scarce, std::vector<Breach>& out);
+
+  /// Other terms from now on. Buckets and windows of teams that keep their name carry over.
+  void reload(Config config, Time now);
+
+  /// Other closures, in order and apart.
+  void set_closures(std::vector<ClosureWindow> closures) { config_.closures = std::move(closures); }
+
+  [[nodiscard]] const Config& config() const { return config_; }
+  [[nodiscard]] bool closure(Time now) const;
+  /// The team of a tenant; -1: none.
+  [[nodiscard]] std::int32_t team_of(std::int32_t tenant) const;
+  /// The present window's entry, and all windows together.
+  [[nodiscard]] const Entry& entry(std::size_t team, std::size_t cls) const { return booked(team, cls).now; }
+  [[nodiscard]] Entry total(std::size_t team, std::size_t cls) const;
+  [[nodiscard]] const AnswerTimes& times(std::size_t team, std::size_t cls) const { return booked(team, cls).times; }
+  /// This gateway's part of the team's rates, 0 to 1.
+  [[nodiscard]] double part(std::size_t team) const { return teams_[team].part; }
+  /// What a request of the class costs the hosts, in milliseconds, as learnt from answers.
+  [[nodiscard]] double cost(std::size_t cls) const { return costs_[cls]; }
+  [[nodiscard]] std::size_t held() const { return open_.size() + flows_.size(); }
+
+ private:
+  struct Book {
+    Entry now, before;  // the window that is open; those that are closed, added up
+    AnswerTimes times;
+  };
+  struct Cell {
+    Gcra bucket;
+    Rate rate;
+    double demand = 0;           // requests a second that arrive here, smoothed
+    std::unique_ptr<Book> book;  // from its first request on: of many teams most are idle
+  };
+  [[nodiscard]] static Book& book(Cell& cell) {
+    if (!cell.book) cell.book = std::make_unique<Book>();
+    return *cell.book;
+  }
+  /// What is booked; an empty one where nothing is.
+  [[nodiscard]] const Book& booked(std::size_t team, std::size_t cls) const {
+    static const Book none;
+    const auto& cell = at(team, cls);
+    return cell.book ? *cell.book : none;
+  }
+  struct TeamState {
+    double part = 1;
+    Gcra retries;
+  };
+  /// One team's use of one scarce resource; kept while it is used.
+  struct Flow {
+    double within = 0, beyond = 0;              // cost asked for, fading
+    double may_within = -1, may_beyond = -1;    // cost a second; below zero: no limit
+    Gcra within_bucket, beyond_bucket;
+    Time used{};
+  };
+  struct FlowKey {
+    std::int64_t group;
+    std::int32_t team;
+    bool primary;
+    bool operator==(const FlowKey& o) const { return group == o.group && team == o.team && primary == o.primary; }
+  };
+  struct FlowHash {
+    std::size_t operator()(const FlowKey& k) const;
+  };
+  struct Resource {
+    double served = 0;    // cost a second that came back served, smoothed
+    double capacity = -1;  // cost a second shared out within contracts; below zero: no limit
+    double lend = -1;      // cost a second shared out beyond them; below zero: no limit
+    Time last_contended{};
+    int refused = 0;      // by the router, since the last step
+  };
+  struct Open {
+    double cost;
+    bool beyond, borrowed;
+  };
+  [[nodiscard]] Cell& at(std::size_t team, std::size_t cls) { return cells_[team * service_.classes.size() + cls]; }
+  [[nodiscard]] const Cell& at(std::size_t team, std::size_t cls) const {
+    return cells_[team * service_.classes.size() + cls];
+  }
+  [[nodiscard]] const Terms* terms(std::size_t team, std::size_t cls, bool closure) const;
+  [[nodiscard]] bool needs_primary(std::size_t cls) const;
+  void set_rates(Time now);
+  void share(Time now, const std::vector<Scarcity>& scarce);
+  void close_window(Time now, std::vector<Breach>& out);
+  gates::Verdict refuse(gates::Reason why, Duration wait);
+
+  Config config_;
+  Service service_;
+  std::vector<std::int32_t> team_of_;
+  std::vector<TeamState> teams_;
+  std::vector<Cell> cells_;
+  std::vector<double> costs_;
+  std::unordered_map<FlowKey, Flow, FlowHash> flows_;
+  std::map<std::pair<std::int64_t, bool>, Resource> resources_;
+  std::unordered_map<std::uint64_t, Open> open_;  // by request: what it was charged
+  bool closure_ = false;
+  Time stepped_{}, window_from_{};
+  bool begun_ = false;
+  pcg32 random_;
+};
+
+/// What cannot be meant: where (a path below the section) and what.
+struct Flaw {
+  std::string where, what;
+};
+std::optional<Flaw> find_flaw(const Config& config, const Service& service);
+
+}  // namespace cedarring::contracts
--- a/src/gates/gate.h
+++ b/src/gates/gate.h
@@ -59,14 +59,16 @@
   bool admitted = true;
   Decider by = Decider::nobody;
   Reason why = Reason::none;
-  Duration pause{};  // when the caller may come again; zero: nothing is said
+  Duration pause{};     // when the caller may come again; zero: nothing is said
+  bool beyond = false;  // admitted, but beyond what was promised: gates behind see it as beyond the budget
 };
 
 /// How a request that was asked for has ended; told once for each, whoever ended it.
 enum class End : std::uint8_t { served, refused, failed, left };
 struct Ending {
   End end = End::failed;
-  Decider by = Decider::nobody;  // of a refusal
+  Decider by = Decider::nobody;  // of a refusal, and why where a gate has refused it
+  Reason why = Reason::none;
   bool ran = false;              // an attempt was written to a host, or may have been
   Duration elapsed{};            // since the request was taken
 };
@@ -76,6 +78,9 @@
   virtual ~Gate() = default;
   /// Whether the request may go on to the next gate, or the router after the last. Never holds one back.
   virtual Verdict admit(const Ask& ask, Time now) = 0;
+  /// Whether a further attempt may be made for a request that this gate let through; the first needs no asking. One
+  /// that may not ends the attempt as never sent.
+  virtual bool may_repeat(const Ask& /*ask*/, Time /*now*/) { return true; }
   /// Told for each request that passed this gate, and for each that it turned away.
   virtual void ended(const Ask& /*ask*/, const Ending& /*ending*/, Time /*now*/) {}
 };
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -76,7 +76,9 @@
 gates::Verdict Broker::pass_gates(Request& r, Time now) {
   for (auto* gate : gates_) {
     ++r.gates_asked;
-    if (const auto verdict = gate->admit(r.ask, now); !verdict.admitted) return verdict;
+    const auto verdict = gate->admit(r.ask, now);
+    if (!verdict.admitted) return verdict;
+    r.ask.beyond_budget |= verdict.beyond;
   }
   return {};
 }
@@ -197,7 +199,9 @@
   const AttemptKey key{send.request, number};
   const Time stop_at = send.stop_at > Time::zero() ? std::min(send.stop_at, r.deadline) : r.deadline;
   // A request that ended while this action waited is not sent at all: nobody would take its answer.
-  if (r.ended || clock_() >= stop_at) return attempt_ended(key, {Outcome::moot, {}, {}, {}, {}});
+  const bool barred = number > 0 && std::any_of(gates_.begin(), gates_.begin() + static_cast<std::ptrdiff_t>(r.gates_asked),
+                                                 [&](auto* gate) { return !gate->may_repeat(r.ask, now); });
+  if (r.ended || barred || clock_() >= stop_at) return attempt_ended(key, {Outcome::moot, {}, {}, {}, {}});
   const auto work = r.work;
   upstream_.start(key, send.host, hosts_.address(send.host), work, stop_at);
 }
@@ -206,15 +210,15 @@
   const auto it = requests_.find(id.value);
   if (it == requests_.end() || it->second.ended) return;
   close(it->second);
-  count(it->second, answer.end == End::refused ? gates::End::refused : gates::End::failed, by);
+  count(it->second, answer.end == End::refused ? gates::End::refused : gates::End::failed, by, answer.verdict.why);
   if (answer.end == End::failed) answer.message = std::move(it->second.message), answer.why = it->second.why;
   if (auto* front = std::exchange(it->second.front, nullptr)) front->finish(id, std::move(answer));
 }
 
-void Broker::count(const Request& r, gates::End end, gates::Decider by) {
+void Broker::count(const Request& r, gates::End end, gates::Decider by, gates::Reason why) {
   if (r.gates_asked > 0) {
     const Time now = clock_();
-    for (std::size_t i = 0; i < r.gates_asked; ++i) gates_[i]->ended(r.ask, {end, by, r.ran, now - r.taken}, now);
+    for (std::size_t i = 0; i < r.gates_asked; ++i) gates_[i]->ended(r.ask, {end, by, why, r.ran, now - r.taken}, now);
   }
   if (!r.budget || end == gates::End::left) return;
   ++(end == gates::End::served ? r.budget->served : end == gates::End::refused ? r.budget->refused : r.budget->failed);
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -153,7 +153,8 @@
   void end(RequestId id, FinalAnswer answer, gates::Decider by);
   void settle(RequestId id);
   void close(Request& r);
-  void count(const Request& r, gates::End end, gates::Decider by = gates::Decider::nobody);
+  void count(const Request& r, gates::End end, gates::Decider by = gates::Decider::nobody,
+             gates::Reason why = gates::Reason::none);
   gates::Verdict pass_gates(Request& r, Time now);
 
   std::vector<std::string> contracts_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -90,6 +90,8 @@
       v.group = id, v.waiting = static_cast<int>(g.waiting.size());
       const Host* top = primary(id);
       v.primary = top && usable(*top);
+      if (top) v.primary_in_flight = top->in_flight(), v.primary_window = top->window;
+      for (const auto w : g.waiting) v.primary_waiting += only_primary(requests_.at(w).cls.value) ? 1 : 0;
       for (const Host* m : g.members) {
         if (!open(*m)) continue;
         ++v.hosts, v.out += healthy(*m) ? 0 : 1, v.in_flight += m->in_flight(), v.window += m->window;
--- a/src/tools/ctl/main.cpp
+++ b/src/tools/ctl/main.cpp
@@ -17,6 +17,7 @@
     app.add_subcommand(name, what)->callback([&line, name] { line = name; });
   };
   plain("levels", "Levels of reduced service, by front");
+  plain("contracts", "Each team's use of each class against its contract");
   plain("hosts", "Groups and how their hosts fare");
   int count = 50;
   auto* records = app.add_subcommand("records", "The last decisions recorded");
--- a/src/tools/lab/main.cpp
+++ b/src/tools/lab/main.cpp
@@ -103,6 +103,67 @@
   return 0;
 }
 
+/// Three teams over a closure in the middle of the run: desks, a partner, and a settlement batch that runs away then.
+int contracts_experiment(int seeds, int length) {
+  auto c = sapporo();
+  c.tenants = {{"desks", 0.70}, {"partner", 0.18}, {"batch", 0.12}};
+  c.load = 0.7;
+  c.length = std::chrono::seconds(length);
+  const double usual = 0.7 * 0.92 * c.groups * c.members * c.host.cores / 0.0622;  // requests a second
+  const auto terms = [&](bool enforce) {
+    contracts::Config k;
+    k.mode = enforce ? contracts::Mode::enforce : contracts::Mode::count;
+    k.gateways = static_cast<std::uint32_t>(c.gateways);
+    for (std::size_t t = 0; t < c.tenants.size(); ++t) {
+      contracts::Team team;
+      team.name = c.tenants[t].name;
+      team.tenants = {static_cast<std::int32_t>(t)};
+      for (const auto& cls : c.classes) {
+        contracts::Terms one;
+        one.rate = 1.3 * usual * cls.share * c.tenants[t].share;
+        one.burst = std::max(15.0, one.rate);
+        one.wanted = cls.contract.aim;
+        one.weight = t == 0 ? 4 : t == 1 ? 2 : 1;
+        one.beyond = contracts::Beyond::borrow;
+        team.classes.push_back(contracts::ClassTerms{one, {}});
+      }
+      k.teams.push_back(team);
+    }
+    return k;
+  };
+  std::printf("%-22s %-9s %-10s %8s %8s %8s %8s %8s %8s\n", "run", "team", "class", "asked", "within", "beyond",
+              "in time", "refused", "share");
+  for (const int what : {0, 1, 2}) {
+    auto run_of = c;
+    // On top of its usual share the batch asks for as much again as everybody together.
+    if (what > 0)
+      run_of.surges.push_back({2, 1, usual, std::chrono::seconds(length / 3), std::chrono::seconds(2 * length / 3)});
+    run_of.contracts = terms(what == 2);
+    const auto all = over_seeds(run_of, seeds);
+    const char* name = what == 0 ? "usual, counting" : what == 1 ? "runaway, counting" : "runaway, enforcing";
+    std::uint64_t broken = 0;
+    for (const auto& r : all) broken += r.overlapping + r.too_many + r.unanswered + r.late_answers;
+    for (std::size_t t = 0; t < c.tenants.size(); ++t)
+      for (std::size_t k = 0; k < c.classes.size(); ++k) {
+        contracts::Entry e;
+        std::vector<double> shares;
+        for (const auto& r : all) {
+          e += r.ledger[t * c.classes.size() + k];
+          const auto& own = r.by_tenant_class[t * c.classes.size() + k];
+          if (own.asked > 0) shares.push_back(static_cast<double>(own.in_time) / static_cast<double>(own.asked));
+        }
+        const auto n = static_cast<double>(seeds);
+        const auto each = [&](std::uint64_t x) { return static_cast<double>(x) / n; };
+        const auto s = estimate(shares);
+        std::printf("%-22s %-9s %-10s %8.0f %8.0f %8.0f %8.0f %8.0f %.4f +- %.4f\n", name, c.tenants[t].name.c_str(),
+                    c.classes[k].contract.name.c_str(), each(e.asked), each(e.within), each(e.beyond), each(e.in_time),
+                    each(e.refused_contract + e.refused_contention + e.refused_router + e.refused_levels), s.mean, s.half);
+      }
+    std::printf("%-22s rules broken %llu\n", name, static_cast<unsigned long long>(broken));
+  }
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -112,6 +173,9 @@
   auto* levels = app.add_subcommand("levels", "Worth by class with and without levels of reduced service");
   levels->add_option("--seeds", seeds, "Runs of each")->check(CLI::Range(1, 1000));
   levels->add_option("--seconds", length, "Simulated seconds of each run")->check(CLI::Range(10, 3600));
+  auto* contracts = app.add_subcommand("contracts", "Three teams, one of which runs away around a closure");
+  contracts->add_option("--seeds", seeds, "Runs of each")->check(CLI::Range(1, 1000));
+  contracts->add_option("--seconds", length, "Simulated seconds of each run")->check(CLI::Range(10, 3600));
   CLI11_PARSE(app, argc, argv);
-  return levels_experiment(seeds, length);
+  return levels->parsed() ? levels_experiment(seeds, length) : contracts_experiment(seeds, length);
 }
--- a/src/tools/lab/world.cpp
+++ b/src/tools/lab/world.cpp
@@ -66,11 +66,12 @@
   SimUpstream upstream;
   std::unique_ptr<memory::Broker> broker;
   std::unique_ptr<levels::Levels> levels;
+  std::unique_ptr<contracts::Contracts> contracts;
 };
 
 /// A request as its client sees it: over all its tries.
 struct Client {
-  std::size_t cls = 0;
+  std::size_t cls = 0, tenant_at = 0;
   std::string tenant;
   std::string key;
   GroupId group;
@@ -114,6 +115,7 @@
     for (int g = 0; g < c.gateways; ++g) gateways.push_back(std::make_unique<Gateway>(*this, static_cast<std::size_t>(g)));
     result.within.resize(c.classes.size());
     result.beyond.resize(c.classes.size());
+    result.by_tenant_class.resize(c.classes.size() * c.tenants.size());
   }
 
   static double seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
@@ -157,8 +159,28 @@
       r->cls = cls;
       const auto& k = c.classes[cls];
       double pick = draw();
-      for (const auto& t : c.tenants)
-        if (r->tenant = t.name; (pick -= t.share) < 0) break;
+      for (std::size_t i = 0; i < c.tenants.size(); ++i)
+        if (r->tenant = c.tenants[i].name, r->tenant_at = i; (pick -= c.tenants[i].share) < 0) break;
+      r->key = std::to_string(static_cast<int>(draw() * 5000));
+      r->group = GroupId{1 + static_cast<int>(draw() * c.groups)};
+      r->asked = timeline.now();
+      r->deadline = r->asked + k.contract.deadline;
+      r->work = k.work_from + Duration(static_cast<std::int64_t>(
+                                  static_cast<double>((k.work_to - k.work_from).count()) * draw()));
+      ++result.requests;
+      ask(r, static_cast<std::size_t>(draw() * static_cast<double>(gateways.size())));
+    });
+  }
+
+  /// What a tenant asks beyond its usual share while a surge of it lasts.
+  void surge(const WorldConfig::Surge& s) {
+    const auto gap = boost::random::exponential_distribution<double>(s.per_second)(random);
+    timeline.after(Duration(static_cast<std::int64_t>(gap * 1e6)), [this, s] {
+      if (timeline.now() >= start + s.to) return;
+      surge(s);
+      auto r = std::make_shared<Client>();
+      const auto& k = c.classes[s.cls];
+      r->cls = s.cls, r->tenant_at = s.tenant, r->tenant = c.tenants[s.tenant].name;
       r->key = std::to_string(static_cast<int>(draw() * 5000));
       r->group = GroupId{1 + static_cast<int>(draw() * c.groups)};
       r->asked = timeline.now();
@@ -192,9 +214,7 @@
       r->counted = true;
       r->beyond = gateway.observer.last_beyond;
       if (measured(*r)) {
-        auto& t = tally(*r);
-        ++t.asked;
-        t.worth_asked += worth(*r);
+        for (auto* t : {&tally(*r), &own(*r)}) ++t->asked, t->worth_asked += worth(*r);
       }
     }
     pending = nullptr;
@@ -227,19 +247,20 @@
       }
     }
     if (!measured(*r)) return;
-    auto& t = tally(*r);
     const auto& k = c.classes[r->cls].contract;
-    if (answer.end == memory::End::served) {
-      const bool in_time = now - r->asked <= k.aim;
-      ++(in_time ? t.in_time : t.late);
-      t.worth += worth(*r) * (in_time ? 1 : k.late_worth);
-    } else {
-      ++(answer.end == memory::End::refused ? t.refused : t.failed);
-      if (!answer.verdict.admitted) ++t.shed;
-    }
+    for (auto* t : {&tally(*r), &own(*r)})
+      if (answer.end == memory::End::served) {
+        const bool in_time = now - r->asked <= k.aim;
+        ++(in_time ? t->in_time : t->late);
+        t->worth += worth(*r) * (in_time ? 1 : k.late_worth);
+      } else {
+        ++(answer.end == memory::End::refused ? t->refused : t->failed);
+        if (!answer.verdict.admitted) ++t->shed;
+      }
   }
 
   [[nodiscard]] bool measured(const Client& r) const { return r.asked >= start + c.warm_up; }
+  Tally& own(const Client& r) { return result.by_tenant_class[r.tenant_at * c.classes.size() + r.cls]; }
   Tally& tally(const Client& r) { return (r.beyond ? result.beyond : result.within)[r.cls]; }
   [[nodiscard]] double worth(const Client& r) const {
     return c.classes[r.cls].contract.worth * (r.beyond ? beyond_worth : 1);
@@ -247,10 +268,14 @@
 
   void beat() {
     for (auto& g : gateways) {
-      if (!g->levels) continue;
       levels::GatewayState state;
       std::vector<GroupView> views;
       g->broker->view(views);
+      if (g->contracts) {
+        std::vector<contracts::Breach> breaches;
+        g->contracts->step(timeline.now(), contracts::scarcity(views), breaches);
+      }
+      if (!g->levels) continue;
       levels::tell_views(views, timeline.now(), state);
       std::vector<levels::AxisChange> events;
       g->levels->step(timeline.now(), state, events);
@@ -265,6 +290,7 @@
     open.resize(gateways.size());
     for (auto& g : gateways) g->broker->start(list());
     for (std::size_t i = 0; i < c.classes.size(); ++i) arrive(i);
+    for (const auto& s : c.surges) timeline.after(s.from, [this, s] { surge(s); });
     beat();
     for (const auto& loss : c.losses)
       timeline.after(loss.at, [this, loss] {
@@ -280,6 +306,13 @@
       });
     timeline.run_until(start + c.length + 10s);
     for (const auto& o : open) result.unanswered += o.size();
+    for (auto& g : gateways)
+      if (g->contracts) {
+        result.ledger.resize(g->contracts->config().teams.size() * c.classes.size());
+        for (std::size_t t = 0; t < g->contracts->config().teams.size(); ++t)
+          for (std::size_t k = 0; k < c.classes.size(); ++k)
+            result.ledger[t * c.classes.size() + k] += g->contracts->total(t, k);
+      }
     result.events = timeline.done();
     return std::move(result);
   }
@@ -320,6 +353,14 @@
   service.seed = settings.seed;
   broker = std::make_unique<memory::Broker>(settings, std::move(budgets), std::vector<std::string>{"a", "b", "c"},
                                             [&w] { return w.timeline.now(); }, upstream);
+  if (w.c.contracts) {
+    contracts::Service terms;
+    terms.classes = settings.classes;
+    terms.tenants = service.tenants;
+    terms.seed = settings.seed ^ 1;
+    contracts = std::make_unique<contracts::Contracts>(*w.c.contracts, terms);
+    broker->add_gate(*contracts);
+  }
   broker->add_gate(observer);
   if (!w.c.levels) return;
   levels = std::make_unique<levels::Levels>(*w.c.levels, service);
--- a/src/tools/lab/world.h
+++ b/src/tools/lab/world.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "contracts/contracts.h"
 #include "levels/levels.h"
 #include "memory/broker.h"
 #include "tools/lab/ledger.h"
@@ -37,6 +38,15 @@
   Duration length{30'000'000}, warm_up{5'000'000};
   bool client_retries = true;    // once, after the pause told or 200 ms
   std::optional<levels::Config> levels;
+  std::optional<contracts::Config> contracts;
+  /// A surge of one tenant: its requests of a class by `factor` from `from` to `to`.
+  struct Surge {
+    std::size_t tenant = 0, cls = 0;
+    double per_second = 0;  // in place of its share
+    Duration from{}, to{};
+  };
+  std::vector<Surge> surges;
+  std::vector<int> members_of;  // by gateway: the share of arrivals that comes to each; empty: even
   struct Loss {
     Duration at{};
     int group = 0;
@@ -52,6 +62,8 @@
 };
 struct WorldResult {
   std::vector<Tally> within, beyond;  // by class
+  std::vector<Tally> by_tenant_class;  // tenant x classes + class
+  std::vector<contracts::Entry> ledger;  // team x classes + class, over all gateways
   std::vector<levels::AxisChange> changes;  // of the first gateway
   std::uint64_t requests = 0, events = 0, attempts = 0;
   std::uint64_t overlapping = 0, too_many = 0, unanswered = 0, late_answers = 0;  // rules broken: always to be 0
--- a/tests/gateway_file_test.cpp
+++ b/tests/gateway_file_test.cpp
@@ -6,7 +6,9 @@
 
 #include <fstream>
 
+#include "app/calendar.h"
 #include "app/config.h"
+#include "app/contracts_config.h"
 #include "support/stand_in.h"
 
 namespace cedarring::test {
@@ -101,6 +103,93 @@
   }
 }
 
+std::string contracts_flaw(const std::string& section) {
+  contracts::Service s;
+  s.classes = service().classes;
+  s.tenants = 2;
+  try {
+    contracts_of(parse_gateway_file("{\"contracts\":" + section + "}", "g.json"), "postgresql", s, {"acme", "batch"});
+    return "";
+  } catch (const ConfigError& e) { return e.what(); }
+}
+
+TEST(GatewayFile, WhatIsWrongWithContractsIsToldWithItsPlace) {
+  const auto teams = [](const std::string& list) { return R"({"mode":"count","teams":[)" + list + "]}"; };
+  const auto calendar = [](const std::string& c) { return R"({"mode":"count","teams":[],"calendar":)" + c + "}"; };
+  struct Case {
+    std::string text, where, expected;
+  };
+  for (const auto& c : std::vector<Case>{
+           {"{}", "/contracts", "required"},
+           {R"({"mode":"maybe","teams":[]})", "/contracts/mode", "enforce"},
+           {teams(R"({"name":"a"})"), "/contracts/teams/0", "tenants"},
+           {teams(R"({"name":"a","tenants":["nobody"]})"), "/contracts/teams/0/tenants/0", "a tenant of the settings"},
+           {teams(R"({"name":"a","tenants":["acme"]},{"name":"b","tenants":["acme"]})"), "/contracts/teams/1/tenants",
+            "a tenant of two teams"},
+           {teams(R"({"name":"a","tenants":[]},{"name":"a","tenants":[]})"), "/contracts/teams/1/name", "taken"},
+           {teams(R"({"name":"a","tenants":[],"classes":{"tea":{"rate":1}}})"), "/contracts/teams/0/classes/tea",
+            "a class of the settings"},
+           {teams(R"({"name":"a","tenants":[],"classes":{"bid":{"rate":-1}}})"), "/contracts/teams/0/classes/bid/rate",
+            "minimum 0"},
+           {teams(R"({"name":"a","tenants":[],"classes":{"bid":{"rate":1,"closure":{"rate":1,"beyond":"beg"}}}})"),
+            "/contracts/teams/0/classes/bid/closure/beyond", "borrow"},
+           {calendar(R"({"zone":"Asia/Nowhere","closures":[]})"), "/contracts/calendar/zone", "IANA"},
+           {calendar(R"({"zone":"../../etc/passwd","closures":[]})"), "/contracts/calendar/zone", "pattern"},
+           {calendar(R"({"zone":"UTC","closures":[{"at":"9"}]})"), "/contracts/calendar/closures/0/at", "pattern"},
+           {calendar(R"({"zone":"UTC","closures":[{"at":"25:00"}]})"), "/contracts/calendar/closures/0/at", "a time of day"}}) {
+    const auto flaw = contracts_flaw(c.text);
+    EXPECT_EQ(flaw.rfind("g.json: " + c.where + ": ", 0), 0U) << c.text << "\n" << flaw;
+    EXPECT_NE(flaw.find(c.expected), std::string::npos) << c.text << "\n" << flaw;
+  }
+  EXPECT_EQ(contracts_flaw(teams(R"({"name":"a","tenants":["acme"],"classes":{"bid":{"rate":5,"closure":{"rate":9}}}})")),
+            "");
+}
+
+/// The windows of one closure, as seconds of their starts after `base`.
+std::vector<std::int64_t> starts(const Calendar& c, std::int64_t base, int days) {
+  std::vector<std::int64_t> all;
+  for (const auto& w : closures_around(c, std::chrono::seconds(base), days))
+    all.push_back(std::chrono::duration_cast<std::chrono::seconds>(w.from).count() - base);
+  return all;
+}
+
+TEST(Calendar, LocalTimesThroughTheChangesOfTheClocks) {
+  Calendar c;
+  c.zone = "Europe/Berlin";
+  c.closures = {{2, 30, 0x7f, {}, std::chrono::seconds(60)}};
+  // 24 October 2026, 12:00 UTC; in the night to the 25th the clocks go back and 02:30 occurs twice.
+  const std::int64_t autumn = 1792843200;
+  const auto a = starts(c, autumn, 2);
+  ASSERT_EQ(a.size(), 4U);  // one a day, 23 to 26: the double hour counts once
+  EXPECT_EQ(a[1] - a[0], 24 * 3600);
+  EXPECT_EQ(a[3] - a[2], 24 * 3600 + (a[2] - a[1] == 24 * 3600 ? 3600 : 0));
+  EXPECT_EQ(a[3] - a[1], 49 * 3600);
+  // 28 March 2026, 12:00 UTC; in the night to the 29th there is no 02:30.
+  const std::int64_t spring = 1774699200;
+  const auto s = starts(c, spring, 2);
+  ASSERT_EQ(s.size(), 4U);
+  EXPECT_EQ(s[3] - s[1], 47 * 3600);
+}
+
+TEST(Calendar, DaysLeadsMidnightAndNeighbours) {
+  Calendar c;
+  c.zone = "Asia/Tokyo";
+  // Tuesday, 1 December 2026, 12:00 UTC is 21:00 there.
+  const std::int64_t base = 1796126400;
+  c.closures = {{0, 5, 0x7f, std::chrono::seconds(600), std::chrono::seconds(600)}};  // over midnight
+  const auto w = closures_around(c, std::chrono::seconds(base), 1);
+  ASSERT_EQ(w.size(), 3U);
+  EXPECT_EQ(w[2].from, std::chrono::seconds(base + 3 * 3600 + 300 - 600));
+  EXPECT_EQ(w[2].to - w[2].from, std::chrono::seconds(1200));
+  c.closures = {{9, 0, 1U << 3U, {}, std::chrono::seconds(60)}};  // Wednesdays only
+  EXPECT_EQ(starts(c, base, 8), (std::vector<std::int64_t>{12 * 3600, (7 * 24 + 12) * 3600}));
+  c.closures = {{9, 0, 0x7f, std::chrono::seconds(600), {}}, {9, 5, 0x7f, std::chrono::seconds(600), {}}};
+  EXPECT_EQ(closures_around(c, std::chrono::seconds(base), 0).size(), 2U);  // that overlap: one a day
+  EXPECT_FALSE(zone_known("Asia/Nowhere"));
+  EXPECT_FALSE(zone_known("/etc/localtime"));
+  EXPECT_TRUE(zone_known("Asia/Tokyo"));
+}
+
 TEST(GatewayFile, SectionsThatAreAbsentAreOff) {
   for (const auto* text : {"{}", R"({"levels":{"mode":"off"}})", R"({"levels":{"mode":"on","fronts":["mysql"]}})"}) {
     const auto f = parse_gateway_file(text, "g.json");
--- a/tests/reduced_test.cpp
+++ b/tests/reduced_test.cpp
@@ -150,6 +150,76 @@
   EXPECT_EQ(c.query(statement("a1", "history")).types, "TDCZ");
 }
 
+TEST(ContractsOverSockets, BeyondTheContractIsRefusedWithWhoAndWhyAndBooked) {
+  Reduced r(R"({"admin":{"socket":"@DIR@/admin.sock"},"records":{"file":"@DIR@/records.jsonl"},"contracts":{)"
+            R"("mode":"enforce","window_ms":1000,"teams":[{"name":"desks","tenants":["acme"],)"
+            R"("classes":{"history":{"rate":0.001,"burst":3,"beyond":"refuse"}}}]}})");
+  PgClient c(r.program->pg());
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(c.query(statement("a" + std::to_string(i), "history")).types, "TDCZ");
+  const auto refused = c.query(statement("b", "history"));
+  EXPECT_EQ(refused.code, "53300");
+  EXPECT_GT(std::atoi(refused.detail.c_str()), 0);
+  EXPECT_EQ(c.query(statement("c", "gate")).types, "TDCZ");  // without a contract: nobody's matter
+  const auto status = r.program->ctl("--json contracts");
+  EXPECT_NE(status.find(R"("team":"desks","class":"history","asked":4,"within":3,"beyond":1,"in_time":3)"),
+            std::string::npos)
+      << status;
+  for (const auto end = Clock::now() + patience; Clock::now() < end && r.records().empty();)
+    std::this_thread::sleep_for(20ms);
+  EXPECT_NE(r.records().find("the team asked beyond its contract"), std::string::npos) << r.records();
+  EXPECT_EQ(r.records().find("the gateway missed"), std::string::npos);
+  // Another file takes the contract away; what was refused before is served now.
+  r.program->configure_gateway(R"({"admin":{"socket":"@DIR@/admin.sock"}})");
+  r.program->signal(SIGHUP);
+  ASSERT_TRUE(r.program->wait_output("reloaded, discovery", 1));
+  EXPECT_EQ(c.query(statement("d", "history")).types, "TDCZ");
+}
+
+TEST(ContractsOverSockets, ABatchOf500ConnectionsThatPipelinesAndComesBackAtOnceLeavesTheDesksAlone) {
+  Reduced r;  // only for its hosts and discovery
+  const auto list = list_of(1, {member("p", r.primary.address(), true), member("l", r.left.address(), false),
+                                member("r", r.right.address(), false)});
+  auto config = config_json(r.discovery->address(), list);
+  const std::string realm = R"({"name":"acme","quota_per_s":100})";
+  config.insert(config.find(realm) + realm.size(), R"(,{"name":"batch","quota_per_s":100})");
+  Program program(config, "", R"({"contracts":{"mode":"enforce","teams":[{"name":"desks","tenants":["acme"]},)"
+                              R"({"name":"settlement","tenants":["batch"],)"
+                              R"("classes":{"history":{"rate":0.01,"burst":20,"beyond":"refuse"}}}]}})");
+  PgClient desk(program.pg());
+  int asked = 0, refused = 0, served = 0;
+  const auto pipelined = [&] {
+    std::string all;
+    for (int i = 0; i < 4; ++i) {
+      auto one = statement("batch" + std::to_string(++asked), "history");
+      one.replace(one.find("t=acme"), 6, "t=batch");
+      all += pg_query(one);
+    }
+    return all;
+  };
+  std::vector<std::unique_ptr<PgClient>> batch;
+  for (int i = 0; i < 500; ++i) {
+    batch.push_back(std::make_unique<PgClient>(program.pg()));
+    batch.back()->socket.send(pipelined());
+    if (i % 50 != 0) continue;
+    EXPECT_EQ(desk.query(statement("desk" + std::to_string(i), "history")).types, "TDCZ") << i;
+  }
+  // Each comes back at once with as many, on its own connection; one that has been closed meanwhile stays away.
+  for (int round = 0; round < 2; ++round)
+    for (auto& c : batch) {
+      bool there = true;
+      for (int i = 0; i < 4 && there; ++i) {
+        const auto answer = c->read_answer();
+        there = !answer.types.empty();
+        refused += answer.code == "53300" ? 1 : 0, served += answer.types == "TDCZ" ? 1 : 0;
+      }
+      if (there && round == 0) c->socket.send(pipelined());
+    }
+  EXPECT_EQ(desk.query(statement("last", "gate")).types, "TDCZ");
+  EXPECT_LE(served, 21);  // its burst, and what the rate has earned since
+  EXPECT_GE(served, 20);
+  EXPECT_GE(refused, 1980);  // all else, at once
+}
+
 TEST(Admin, AStuckClientHoldsNothingUpAndItsPlaceComesBack) {
   Reduced r;
   const auto path = r.program->dir() + "/admin.sock";
