--- a/src/app/contracts_config.cpp
+++ b/src/app/contracts_config.cpp
@@ -7,11 +7,6 @@
 
 using Json = rapidjson::Value;
 
-const Json* member(const Json& object, const char* key) {
-  const auto it = object.FindMember(key);
-  return it == object.MemberEnd() ? nullptr : &it->value;
-}
-
 /// What is left out is as in `base`.
 contracts::Terms terms_of(const Json& v, contracts::Terms base) {
   if (const auto* x = member(v, "rate")) base.rate = x->GetDouble();
--- a/src/app/gateway_file.cpp
+++ b/src/app/gateway_file.cpp
@@ -13,10 +13,6 @@
 
 using Json = rapidjson::Value;
 
-const Json* member(const Json& object, const char* key) {
-  const auto it = object.FindMember(key);
-  return it == object.MemberEnd() ? nullptr : &it->value;
-}
 Duration ms_of(const Json& object, const char* key, Duration fallback) {
   const auto* v = member(object, key);
   return v ? Duration(v->GetInt64() * 1000) : fallback;
--- a/src/app/gateway_file.h
+++ b/src/app/gateway_file.h
@@ -21,8 +21,7 @@
   std::string admin_socket;  // empty: off
 
   [[nodiscard]] const rapidjson::Value* section(const char* key) const {
-    const auto it = json.FindMember(key);
-    return it == json.MemberEnd() ? nullptr : &it->value;
+    return member(json, key);
   }
 };
 
--- a/src/app/json_schema.h
+++ b/src/app/json_schema.h
@@ -24,6 +24,12 @@
 /// Throws ConfigError at the first thing that the schema does not allow.
 void check_schema(const rapidjson::Document& document, const char* schema, const std::string& file);
 
+/// A member of an object; null where it has none of that name.
+inline const rapidjson::Value* member(const rapidjson::Value& object, const char* key) {
+  const auto it = object.FindMember(key);
+  return it == object.MemberEnd() ? nullptr : &it->value;
+}
+
 /// The value as text, cut to a length that fits a line.
 std::string shown(const rapidjson::Value& value);
 
--- a/src/tools/lab/world.cpp
+++ b/src/tools/lab/world.cpp
@@ -155,40 +155,35 @@
     timeline.after(Duration(static_cast<std::int64_t>(gap * 1e6)), [this, cls] {
       if (timeline.now() >= start + c.length) return;
       arrive(cls);
-      auto r = std::make_shared<Client>();
-      r->cls = cls;
-      const auto& k = c.classes[cls];
       double pick = draw();
-      for (std::size_t i = 0; i < c.tenants.size(); ++i)
-        if (r->tenant = c.tenants[i].name, r->tenant_at = i; (pick -= c.tenants[i].share) < 0) break;
-      r->key = std::to_string(static_cast<int>(draw() * 5000));
-      r->group = GroupId{1 + static_cast<int>(draw() * c.groups)};
-      r->asked = timeline.now();
-      r->deadline = r->asked + k.contract.deadline;
-      r->work = k.work_from + Duration(static_cast<std::int64_t>(
-                                  static_cast<double>((k.work_to - k.work_from).count()) * draw()));
-      ++result.requests;
-      ask(r, static_cast<std::size_t>(draw() * static_cast<double>(gateways.size())));
+      std::size_t tenant = 0;
+      for (; tenant + 1 < c.tenants.size() && (pick -= c.tenants[tenant].share) >= 0; ++tenant) {}
+      come(cls, tenant);
     });
   }
 
+  /// A new request of a tenant: its key, group and work are drawn, and the gateway that it comes to.
+  void come(std::size_t cls, std::size_t tenant) {
+    auto r = std::make_shared<Client>();
+    const auto& k = c.classes[cls];
+    r->cls = cls, r->tenant_at = tenant, r->tenant = c.tenants[tenant].name;
+    r->key = std::to_string(static_cast<int>(draw() * 5000));
+    r->group = GroupId{1 + static_cast<int>(draw() * c.groups)};
+    r->asked = timeline.now();
+    r->deadline = r->asked + k.contract.deadline;
+    r->work = k.work_from +
+              Duration(static_cast<std::int64_t>(static_cast<double>((k.work_to - k.work_from).count()) * draw()));
+    ++result.requests;
+    ask(r, static_cast<std::size_t>(draw() * static_cast<double>(gateways.size())));
+  }
+
   /// What a tenant asks beyond its usual share while a surge of it lasts.
   void surge(const WorldConfig::Surge& s) {
     const auto gap = boost::random::exponential_distribution<double>(s.per_second)(random);
     timeline.after(Duration(static_cast<std::int64_t>(gap * 1e6)), [this, s] {
       if (timeline.now() >= start + s.to) return;
       surge(s);
-      auto r = std::make_shared<Client>();
-      const auto& k = c.classes[s.cls];
-      r->cls = s.cls, r->tenant_at = s.tenant, r->tenant = c.tenants[s.tenant].name;
-      r->key = std::to_string(static_cast<int>(draw() * 5000));
-      r->group = GroupId{1 + static_cast<int>(draw() * c.groups)};
-      r->asked = timeline.now();
-      r->deadline = r->asked + k.contract.deadline;
-      r->work = k.work_from + Duration(static_cast<std::int64_t>(
-                                  static_cast<double>((k.work_to - k.work_from).count()) * draw()));
-      ++result.requests;
-      ask(r, static_cast<std::size_t>(draw() * static_cast<double>(gateways.size())));
+      come(s.cls, s.tenant);
     });
   }
 
--- a/src/tools/lab/world.h
+++ b/src/tools/lab/world.h
@@ -46,7 +46,6 @@
     Duration from{}, to{};
   };
   std::vector<Surge> surges;
-  std::vector<int> members_of;  // by gateway: the share of arrivals that comes to each; empty: even
   struct Loss {
     Duration at{};
     int group = 0;
