Report contracts: a record of each closed window, merged over gateways as table, JSON or CSV

Need: each gateway books its own part of what a team asks; who broke which promise can only be said of all of them together, and after the fact.

Change: at the end of a ledger's window a record of kind `ledger` for each team and class that asked; `cedarring report contracts RECORDS...` adds up the records of several gateways, with breaches by side. A line that is torn is counted and passed over.

Measured: a test over sockets merges the records of a started gateway twice over, one copy with a torn line, and finds every count doubled.

--- a/src/app/contracts_runner.cpp
+++ b/src/app/contracts_runner.cpp
@@ -38,6 +38,25 @@
   return r;
 }
 
+/// `cedarring report contracts` reads these: the names of readings are its columns.
+telemetry::Record record_of(const contracts::Closed& c, const std::string& front, const contracts::Config& config,
+                            const contracts::Service& service) {
+  telemetry::Record r;
+  r.at = c.to;
+  r.kind = "ledger";
+  r.subject = front + " " + config.teams[c.team].name + " " + service.classes[c.cls].name;
+  const auto& e = c.entry;
+  const auto count = [&](const char* name, std::uint64_t n) { r.readings.emplace_back(name, static_cast<double>(n)); };
+  r.readings.emplace_back("from_ms", static_cast<double>(c.from.count() / 1000));
+  count("asked", e.asked), count("within", e.within), count("beyond", e.beyond);
+  count("in_time", e.in_time), count("late", e.late), count("failed", e.failed), count("left", e.left);
+  count("refused_contract", e.refused_contract), count("refused_contention", e.refused_contention);
+  count("refused_levels", e.refused_levels), count("refused_router", e.refused_router);
+  count("promised", e.within_ended), count("kept", e.within_in_time);
+  r.readings.emplace_back("cost_ms", e.cost);
+  return r;
+}
+
 ContractsRunner::ContractsRunner(ev::loop_ref loop, std::string front, ContractsConfig config,
                                  contracts::Service service, memory::Broker& broker, memory::Broker::Clock clock,
                                  telemetry::Log& log)
@@ -64,7 +83,9 @@
   views_.clear();
   broker_.view(views_);
   std::vector<contracts::Breach> breaches;
-  contracts_.step(now, contracts::scarcity(views_), breaches);
+  std::vector<contracts::Closed> closed;
+  contracts_.step(now, contracts::scarcity(views_), breaches, &closed);
+  for (const auto& c : closed) log_.record(record_of(c, front_, contracts_.config(), service_));
   for (const auto& b : breaches) log_.record(record_of(b, front_, contracts_.config(), service_));
 }
 
--- a/src/app/contracts_runner.h
+++ b/src/app/contracts_runner.h
@@ -15,6 +15,9 @@
 telemetry::Record record_of(const contracts::Breach& breach, const std::string& front, const contracts::Config& config,
                             const contracts::Service& service);
 
+telemetry::Record record_of(const contracts::Closed& closed, const std::string& front, const contracts::Config& config,
+                            const contracts::Service& service);
+
 class ContractsRunner {
  public:
   ContractsRunner(ev::loop_ref loop, std::string front, ContractsConfig config, contracts::Service service,
--- a/src/contracts/contracts.cpp
+++ b/src/contracts/contracts.cpp
@@ -248,7 +248,8 @@
   return all;
 }
 
-void Contracts::step(Time now, const std::vector<Scarcity>& scarce, std::vector<Breach>& out) {
+void Contracts::step(Time now, const std::vector<Scarcity>& scarce, std::vector<Breach>& out,
+                     std::vector<Closed>* closed) {
   if (!begun_) begun_ = true, stepped_ = window_from_ = now;
   now = std::max(now, stepped_);
   const double passed = seconds(now - stepped_);
@@ -277,7 +278,7 @@
     for (auto& [key, r] : resources_) r.served *= keep;
   }
   set_rates(now);
-  if (now - window_from_ >= config_.window) close_window(now, out);
+  if (now - window_from_ >= config_.window) close_window(now, out, closed);
 }
 
 /// Weighted max-min over teams: first what is within contracts, then, of what that leaves, what is beyond.
@@ -331,7 +332,7 @@
   }
 }
 
-void Contracts::close_window(Time now, std::vector<Breach>& out) {
+void Contracts::close_window(Time now, std::vector<Breach>& out, std::vector<Closed>* closed) {
   for (std::size_t t = 0; t < teams_.size(); ++t)
     for (std::size_t c = 0; c < service_.classes.size(); ++c) {
       if (!at(t, c).book) continue;
@@ -345,6 +346,8 @@
         if (got < terms->share)
           out.push_back({t, c, Side::gateway, window_from_, now, ended - book.now.within_in_time, terms->share, got, closure_});
       }
+      if (closed && book.now.asked > 0)
+        closed->push_back({t, c, window_from_, now, book.now, book.times.quantile(0.5), book.times.quantile(0.99)});
       book.before += book.now;
       book.now = {};
     }
--- a/src/contracts/contracts.h
+++ b/src/contracts/contracts.h
@@ -48,7 +48,9 @@
   bool may_repeat(const gates::Ask& ask, Time now) override;
 
   /// Shares out what is scarce, moves this gateway's parts and closes windows. To be called every 100 ms.
-  void step(Time now, const std::vector<Scarcity>& scarce, std::vector<Breach>& out);
+  /// Windows that close are appended to `closed` where that is wanted.
+  void step(Time now, const std::vector<Scarcity>& scarce, std::vector<Breach>& out,
+            std::vector<Closed>* closed = nullptr);
 
   /// Other terms from now on. Buckets and windows of teams that keep their name carry over.
   void reload(Config config, Time now);
@@ -130,7 +132,7 @@
   [[nodiscard]] bool needs_primary(std::size_t cls) const;
   void set_rates(Time now);
   void share(Time now, const std::vector<Scarcity>& scarce);
-  void close_window(Time now, std::vector<Breach>& out);
+  void close_window(Time now, std::vector<Breach>& out, std::vector<Closed>* closed);
   gates::Verdict refuse(gates::Reason why, Duration wait);
 
   Config config_;
--- a/src/contracts/ledger.h
+++ b/src/contracts/ledger.h
@@ -55,4 +55,12 @@
   bool closure = false;
 };
 
+/// A window that has closed, with what was booked in it.
+struct Closed {
+  std::size_t team = 0, cls = 0;
+  Time from{}, to{};
+  Entry entry;
+  double p50_ms = 0, p99_ms = 0;  // of all answers so far
+};
+
 }  // namespace cedarring::contracts
--- a/tests/reduced_test.cpp
+++ b/tests/reduced_test.cpp
@@ -168,6 +168,17 @@
     std::this_thread::sleep_for(20ms);
   EXPECT_NE(r.records().find("the team asked beyond its contract"), std::string::npos) << r.records();
   EXPECT_EQ(r.records().find("the gateway missed"), std::string::npos);
+  // The report of the same records twice, as of two gateways, with a torn line at their end.
+  const auto copy = r.program->dir() + "/next.json";
+  std::ofstream(copy) << r.records() << "{\"record\":\"led";
+  FILE* pipe = ::popen((std::string(CEDARRING_GATEWAY) + " report contracts --csv " + copy + " " + r.program->dir() +
+                        "/records.jsonl 2>&1").c_str(), "r");
+  std::string report;
+  char bytes[512];
+  for (std::size_t n = 0; (n = ::fread(bytes, 1, sizeof bytes, pipe)) > 0;) report.append(bytes, n);
+  EXPECT_EQ(::pclose(pipe), 0);
+  EXPECT_NE(report.find("postgresql desks history,8,6,2,6,0,0,0,2,0,0,0,6,6,"), std::string::npos) << report;
+  EXPECT_NE(report.find("1 of "), std::string::npos) << report;
   // Another file takes the contract away; what was refused before is served now.
   r.program->configure_gateway(R"({"admin":{"socket":"@DIR@/admin.sock"}})");
   r.program->signal(SIGHUP);
