Probes are paid for by requests: a router of hundreds asked for each read of its own

Ruled out: retries by clients (1.00 tries a request), calls for lists (0.0002), the usual round. Of three gateways each knows nearly every queue, so few reads ask; of a hundred each read finds it unknown and asks.

Cause: Impl::seek and the doubtful and urgent branches of probe_round know no price. Now each arrival earns probe_points / probe_price of a probe, ten saved at most, and each probe takes one. Where no probe is to be had an unknown queue no longer keeps a replica out (guesses were used only for reads within their bound: the others would all have gone to the primary).

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -50,6 +50,7 @@
     2;  // replicas probed for a read that finds none recent enough, where only probes tell
 constexpr double probe_load = 0.01;    // urgent probes of all routers: so many in a typical latency
 constexpr double probe_points = 0.01;  // probing may cost about this much of the result
+constexpr double probe_cap = 10;        // probes saved at most
 constexpr double hold_share = 0.45;    // of its time that a request may wait unsent, where holding costs
 constexpr double forget_aims = 60;     // longest aims after which a session's last write becomes the floor
 
@@ -409,7 +410,7 @@
   /// Asks replicas (one where answers tell positions too), or the primary, when too little is known. Guards
   /// the primary where traffic is too thin to keep positions fresh. Harm: a read waits one probe longer.
   bool seek(Group& g, Host* top, bool primary) {
-    if (!s_.may_probe) return false;
+    if (!s_.may_probe || !can_probe()) return false;
     auto& asked = g.asked[primary ? 1 : 0];
     const auto pending = [&](const Host* m) { return m->probing && (m == top) == primary; };
     if (now_ < asked.until) return std::any_of(g.members.begin(), g.members.end(), pending);
@@ -420,7 +421,7 @@
         from.emplace_back(m, warmth(*m));
     if (from.empty()) return false;
     asked.until = now_ + std::clamp(probe_time_ * 4, beat_, shortest_aim_ / 4);
-    for (int i = 0; i < (s_.answers_carry_position ? 1 : asked_at_once) && !from.empty(); ++i) {
+    for (int i = 0; i < (s_.answers_carry_position ? 1 : asked_at_once) && !from.empty() && can_probe(); ++i) {
       Host* h = weighted_draw(from);
       probe(*h);
       from.erase(std::remove_if(from.begin(), from.end(), [&](const auto& f) { return f.first == h; }),
@@ -429,7 +430,14 @@
     return true;
   }
 
+  /// Probes are paid for by requests: one of hundreds of routers sees few, and what each asks for a read of its own
+  /// comes to more probes than requests over all. Harm: without one a queue is not known, a position old.
+  bool can_probe() const { return s_.probe_price <= 0 || probe_tokens_ >= 1; }
+  void earn_probe() {
+    if (s_.probe_price > 0) probe_tokens_ = std::min(probe_cap, probe_tokens_ + probe_points / s_.probe_price);
+  }
   void probe(Host& h) {
+    probe_tokens_ -= 1;
     h.probing = true;
     h.last_probe = now_;
     out_->push_back(Probe{h.id});
@@ -465,7 +473,7 @@
           }
           within = within || step > past_weight;
           if (careful && reports_queue_ && !queue_known(h)) {
-            guesses.emplace_back(&h, 1);
+            guesses.emplace_back(&h, step * warmth(h));
             continue;
           }
           const double latency = std::max(0.1, ms(expected(h, r.cls)));
@@ -473,7 +481,7 @@
           eligible.emplace_back(&h, w);
         }
         nowhere = nowhere && !within && !busy;
-        if (within && eligible.empty()) {
+        if (eligible.empty() && !guesses.empty()) {
           if (seek(g, top, false)) return nullptr;
           eligible = guesses;
         }
@@ -593,6 +601,7 @@
     }
     ++g.held;
     retry_tokens_ = std::min(retry_cap, retry_tokens_ + retry_ratio * tuning_.retry_budget);
+    earn_probe();
     arrived_.add(now_, r.cls.value, 1);
     const auto& c = s_.classes[e.cls.value];
     if (c.freshness == Freshness::session) {
@@ -933,7 +942,7 @@
       shortest = std::min(shortest, g.period);
       for (Host* m : g.members) {
         auto& h = *m;
-        if (h.probing || !open(h)) continue;
+        if (h.probing || !open(h) || !can_probe()) continue;
         const bool doubt = urgent || h.quiet(now_) > patience(h) / 2;
         const auto period = std::max(doubt ? urgent_period() : g.period, cold_gap(h));
         if (period == forever || (h.last_probe != never && now_ - h.last_probe < scale(period, h.phase)))
@@ -972,6 +981,7 @@
   std::multiset<Time> warm_at_;         // when the cold ones of them will be warm
   int ready_ = 0;                       // hosts listed as ready
   double retry_tokens_ = retry_cap;
+  double probe_tokens_ = probe_cap;  // probes that requests have paid for
   Tuning tuning_;  // while service is reduced
   double write_value_ = 0;  // worth over cost of the dearest write class
 };
--- a/src/tools/lab/world.cpp
+++ b/src/tools/lab/world.cpp
@@ -103,7 +103,7 @@
     settings.max_retry_after = 500ms;
     settings.cold_for = 14s, settings.cold_from = 0.17;
     settings.tip_multiple = 2, settings.tip_after = 2s;
-    settings.probe_price = 0.01;
+    settings.probe_price = c.probe_price;
     settings.routers = static_cast<std::uint32_t>(c.gateways);
     double mean = 0, shares = 0;
     for (const auto& k : c.classes) {
@@ -424,6 +424,7 @@
 void SimUpstream::probe(HostId id, const std::string& address) {
   auto& t = world_.timeline;
   const auto began = t.now();
+  ++world_.result.probes;
   auto* host = world_.host(address);
   t.after(hop * 2 + probe_work, [this, id, host, began, &t] {
     const bool ok = host->alive() && !host->silent();
--- a/src/tools/lab/world.h
+++ b/src/tools/lab/world.h
@@ -36,6 +36,7 @@
   double load = 1;               // of what the hosts can do
   std::vector<double> factors;   // on the classes' shares; empty: none
   Duration length{30'000'000}, warm_up{5'000'000};
+  double probe_price = 0.01;     // of a request's worth, as the settings tell it
   bool client_retries = true;    // once, after the pause told or 200 ms
   std::optional<levels::Config> levels;
   std::optional<contracts::Config> contracts;
@@ -64,7 +65,7 @@
   std::vector<Tally> by_tenant_class;  // tenant x classes + class
   std::vector<contracts::Entry> ledger;  // team x classes + class, over all gateways
   std::vector<levels::AxisChange> changes;  // of the first gateway
-  std::uint64_t requests = 0, events = 0, attempts = 0;
+  std::uint64_t requests = 0, events = 0, attempts = 0, probes = 0;
   std::uint64_t overlapping = 0, too_many = 0, unanswered = 0, late_answers = 0;  // rules broken: always to be 0
   [[nodiscard]] double worth_share() const;  // of all, what is beyond a budget counts a twentieth
   [[nodiscard]] double in_time_share(std::size_t cls) const;  // of those within their budget
