A failure counts for the time it speaks for; writes ask for the primary; no idle take-backs

Causes and changes, in src/router/router.cpp: - rescue(): took back what only the primary can take from a silent primary, with nowhere else to send it.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -162,6 +162,7 @@
     }
     h.listed = true;
     h.zone = e.zone;
+    h.named = e.listed_primary && s_.list_role != ListRole::none;
     take_state(h, e.state);
     // A listed role may be old, so it counts as the weakest evidence: anything heard from a host beats it.
     if (e.listed_primary && s_.list_role != ListRole::none && h.role == Role::unknown) {
@@ -274,10 +275,30 @@
   /// What has nowhere else to go uses a primary in spite of its errors (iae7ffd), not of silence or refusals.
   bool usable(const Host& h) const { return healthy(h) || (h.refusals == 0 && !silent(h)); }
 
+  /// Of many outcomes each counts for little; one that comes after long counts for all not seen since.
+  double gain(const Host& h) const {
+    const double gap = ms(now_ - std::max(h.judged, started_)) / 1000;
+    return std::max(fail_gain, 1 - std::exp(-gap / rate_seconds));
+  }
+  /// A verdict fades once its time is up: else a host that has failed after long quiet would never be tried.
+  double ill(const Host& h) const {
+    if (now_ <= h.ejected_until || h.ejected_until == never) return h.fails;
+    return h.fails * std::exp(-ms(now_ - h.ejected_until) / 1000 / rate_seconds);
+  }
+  /// How long between two requests that this router would send to a host of the group.
+  Duration send_gap(const Host& h) {
+    const Group& g = groups_[h.group];
+    const double seconds = static_cast<double>(g.members.size()) / std::max(g.rate, 0.01);
+    return Duration(static_cast<std::int64_t>(1e6 * seconds));
+  }
   void failed(Host& h, double weight) {
-    h.fails += fail_gain * weight * (1 - h.fails);
+    h.fails += std::min(1.0, gain(h) * weight) * (1 - h.fails);
+    h.judged = now_;
     if (h.fails < eject_at) return;
-    h.backoff = h.backoff == Duration::zero() ? shortest_aim_ / 2 : std::min(h.backoff * 2, longest_aim_ * 4);
+    // What only the primary can take has nowhere else to go meanwhile.
+    const auto spared = h.role == Role::primary ? Duration{} : std::min(send_gap(h), longest_aim_ * 8);
+    const auto first = std::max(shortest_aim_ / 2, spared);
+    h.backoff = std::max(first, std::min(h.backoff * 2, longest_aim_ * 16));
     h.ejected_until = now_ + scale(h.backoff, 0.75 + draw01() / 2);
   }
 
@@ -288,7 +309,8 @@
     h.refusals = 0;
     if (h.lost_probes > 0) probe_doubt_ += (1 - probe_doubt_) * fail_gain;
     h.lost_probes = 0;
-    h.fails -= fail_gain * h.fails;
+    h.fails -= gain(h) * h.fails;
+    h.judged = now_;
     if (h.ejected_until != never && now_ >= h.ejected_until) {
       h.ejected_until = never;
       h.fails = std::min(h.fails, eject_at * 0.8);
@@ -410,7 +432,7 @@
   /// Asks replicas (one where answers tell positions too), or the primary, when too little is known. Guards
   /// the primary where traffic is too thin to keep positions fresh. Harm: a read waits one probe longer.
   bool seek(Group& g, Host* top, bool primary) {
-    if (!s_.may_probe || !can_probe()) return false;
+    if (!s_.may_probe || !can_probe(probe_cap / 2)) return false;
     auto& asked = g.asked[primary ? 1 : 0];
     const auto pending = [&](const Host* m) { return m->probing && (m == top) == primary; };
     if (now_ < asked.until) return std::any_of(g.members.begin(), g.members.end(), pending);
@@ -421,7 +443,8 @@
         from.emplace_back(m, warmth(*m));
     if (from.empty()) return false;
     asked.until = now_ + std::clamp(probe_time_ * 4, beat_, shortest_aim_ / 4);
-    for (int i = 0; i < (s_.answers_carry_position ? 1 : asked_at_once) && !from.empty() && can_probe(); ++i) {
+    const int most = s_.answers_carry_position ? 1 : asked_at_once;
+    for (int i = 0; i < most && !from.empty() && can_probe(probe_cap / 2); ++i) {
       Host* h = weighted_draw(from);
       probe(*h);
       from.erase(std::remove_if(from.begin(), from.end(), [&](const auto& f) { return f.first == h; }),
@@ -430,11 +453,13 @@
     return true;
   }
 
-  /// Probes are paid for by requests: one of hundreds of routers sees few, and what each asks for a read of its own
-  /// comes to more probes than requests over all. Harm: without one a queue is not known, a position old.
-  bool can_probe() const { return s_.probe_price <= 0 || probe_tokens_ >= 1; }
+  /// Probes are paid for by requests: one of hundreds of routers sees few, and what each asks for a read of
+  /// its own comes to more probes than requests over all. Half of what is saved is kept for groups whose
+  /// primary is not known. Harm: without one a queue is not known, a position old.
+  bool can_probe(double kept = 0) const { return s_.probe_price <= 0 || probe_tokens_ >= 1 + kept; }
   void earn_probe() {
-    if (s_.probe_price > 0) probe_tokens_ = std::min(probe_cap, probe_tokens_ + probe_points / s_.probe_price);
+    if (s_.probe_price <= 0) return;
+    probe_tokens_ = std::min(probe_cap, probe_tokens_ + probe_points / s_.probe_price);
   }
   void probe(Host& h) {
     probe_tokens_ -= 1;
@@ -443,12 +468,28 @@
     out_->push_back(Probe{h.id});
   }
 
+  /// Where no primary is known that can be used and probes cost too much, a write itself asks: any host that
+  /// is none turns it away at once and nothing ran. Each is asked once in a while, the one the list names
+  /// first, then those longest not known as replicas. Harm: a write that finds none has spent attempts.
+  Host* guess(const Request& r, Group& g, const Host* top) {
+    const bool cheap = s_.may_probe && s_.probe_price * static_cast<double>(g.members.size()) <= probe_points;
+    if (cheap || r.attempts.size() + 1 >= s_.max_attempts) return nullptr;
+    Host* best = nullptr;
+    for (Host* m : g.members) {
+      if (m == top || !open(*m) || !healthy(*m) || !room(*m)) continue;
+      if (now_ - std::max(m->role_at, m->last_sent) < shortest_aim_) continue;
+      if (!best || std::pair(m->named, best->role_at) > std::pair(best->named, m->role_at)) best = m;
+    }
+    return best && cold_turn(r, *best, 1, true) ? best : nullptr;
+  }
+
   /// The ordinary path: the draw among replicas, then the primary. Null: nobody can take it now.
   Host* choose(const Request& r) {
     const auto& c = s_.classes[r.cls.value];
     Group& g = groups_[r.group];
     Host* top = primary(r.group);
     if (only_primary(r.cls.value)) {
+      if ((!top || !usable(*top)) && c.freshness == Freshness::write) return guess(r, g, top);
       if (!top || !usable(*top) || !room(*top)) return nullptr;
       if (reports_queue_ && !queue_known(*top) && seek(g, top, true)) return nullptr;
       return jammed(*top, r) || !cold_turn(r, *top, 1, true) ? nullptr : top;
@@ -477,7 +518,7 @@
             continue;
           }
           const double latency = std::max(0.1, ms(expected(h, r.cls)));
-          const double w = step * warmth(h) * (1 - h.fails) * (1 - h.fails) / (latency * (h.in_flight() + 1));
+          const double w = step * warmth(h) * (1 - ill(h)) * (1 - ill(h)) / (latency * (h.in_flight() + 1));
           eligible.emplace_back(&h, w);
         }
         nowhere = nowhere && !within && !busy;
@@ -771,6 +812,9 @@
         if (h.heard <= a.sent) failed(h, 1);
         congested(h, r, std::min(now_ - a.sent, scale(aim, timeout_loads * h.load)), false);
         break;
+      case Outcome::cancelled:
+        if (a.cancelled && !r.ended && h.heard <= a.sent) failed(h, 1);
+        break;
       default: break;
     }
   }
@@ -830,7 +874,10 @@
       if (!a.out || a.cancelled || c.effect == Effect::unsafe) continue;
       if (c.effect == Effect::keyed && now_ - std::min(r.maybe_ran, a.sent) > c.window / 2) continue;
       const auto h = hosts_.find(a.host);
-      if (h != hosts_.end() && !silent(h->second) &&
+      // Nowhere else to go: the host would do it anew, behind what it still holds, for each of the routers.
+      const bool same =
+          h != hosts_.end() && only_primary(r.cls.value) && primary(r.group) == &h->second;
+      if (h != hosts_.end() && (same || !silent(h->second)) &&
           (h->second.heard <= a.sent || now_ - a.sent <= scale(expected(h->second, r.cls), lost_latencies)))
         continue;
       a.cancelled = true;
@@ -942,7 +989,7 @@
       shortest = std::min(shortest, g.period);
       for (Host* m : g.members) {
         auto& h = *m;
-        if (h.probing || !open(h) || !can_probe()) continue;
+        if (h.probing || !open(h) || !can_probe(urgent ? 0 : probe_cap / 2)) continue;
         const bool doubt = urgent || h.quiet(now_) > patience(h) / 2;
         const auto period = std::max(doubt ? urgent_period() : g.period, cold_gap(h));
         if (period == forever || (h.last_probe != never && now_ - h.last_probe < scale(period, h.phase)))
--- a/src/router/state.h
+++ b/src/router/state.h
@@ -27,6 +27,7 @@
   ZoneId zone;
   HostState state = HostState::ready;
   bool listed = true;
+  bool named = false;  // as the primary, by the list
   Time cold_since = never;  // start of the present process, if it may still be cold
   // positions
   Time position = never;     // a lower bound of what it holds; never regresses
@@ -43,6 +44,7 @@
   double fails = 0;  // EWMA of failures
   Time ejected_until = never;
   Duration backoff{};
+  Time judged = never;     // when an outcome last told of its health
   Time heard = never;      // last sign of life: an answer or a probe
   Time seen = never;       // last answered probe
   double queued = 0;       // requests waiting there, as last reported
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -249,6 +249,7 @@
   list.full = true;
   list.members.push_back({"q", "q", "a", GroupId{1}, HostState::ready, 1, false, {}});
   b.broker.listed(list);  // no primary any more
+  b.upstream.at_once = Outcome::moot;  // nor does anything reach the host that might be one
   const auto start = b.now;
   const auto id = b.ask("pay");
   b.run_until(start + 300ms);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1050,6 +1050,105 @@
   EXPECT_EQ(b.attempts[first], 2U) << "both hosts once";
 }
 
+// A hundred routers that took writes back from a slow primary and sent them there again only made its queue longer.
+TEST(Health, WhatOnlyThePrimaryCanTakeIsNotTakenBackFromItToBeSentThereAgain) {
+  Bench b;
+  b.report(1, b.now, true);
+  const auto w = b.ask(keyed, 1);
+  const auto f = b.ask(fresh);
+  ASSERT_TRUE(b.sent(w) && b.sent(f));
+  for (int i = 0; i < 2; ++i) b.give(ProbeEnded{HostId{1}, Outcome::timeout, 250ms, {}});
+  b.pass(100ms);
+  EXPECT_TRUE(b.cancels.empty());
+  b.now += 10ms;
+  b.report(2, b.now, true);  // another has taken over: now there is somewhere to go
+  b.pass(100ms);
+  EXPECT_EQ(b.cancels.size(), 2U);
+}
+
+// One of a hundred routers meets a host every few seconds: after four lost requests the day is over.
+TEST(Health, OneFailureAfterLongQuietKeepsAHostOutAndOneAmongManyDoesNot) {
+  for (const bool thin : {true, false}) {
+    Bench b(make_settings(), 4);
+    b.report(1, b.now, true);
+    std::uint32_t bad = 0;
+    for (int i = 0; i < 300 && bad == 0; ++i) {
+      const auto r = b.ask(any);
+      ASSERT_TRUE(b.sent(r));
+      b.now += 20ms;
+      if (i >= 100 && b.last_host[r] == 2) bad = 2, b.end(r, Outcome::error, {}, true);
+      else b.end(r, Outcome::ok, Note{Role::replica, {}});
+      b.pass(thin ? 4s : 5ms);
+    }
+    ASSERT_EQ(bad, 2U);
+    const auto to = b.spread(any, 60);
+    EXPECT_EQ(to.count(2) == 0, thin);
+    // It is tried again when its time is up, and one answer makes it whole.
+    bool back = false;
+    for (int i = 0; i < 200 && !back; ++i) {
+      const auto r = b.ask(any);
+      back = b.last_host[r] == 2;
+      b.now += 20ms;
+      b.end(r, Outcome::ok, Note{Role::replica, {}});
+      b.pass(1s);
+    }
+    EXPECT_TRUE(back) << thin;
+  }
+}
+
+TEST(Primary, AWriteAsksForThePrimaryItselfWhereProbesCostTooMuch) {
+  auto s = make_settings();
+  s.probe_price = 0.08;
+  Bench b(s, 4);
+  const auto w = b.ask(keyed, 1);
+  std::set<std::uint32_t> asked;
+  for (int i = 0; i < 4; ++i) {
+    ASSERT_EQ(b.attempts[w], static_cast<std::uint32_t>(i + 1));
+    const auto host = b.last_host[w];
+    EXPECT_TRUE(asked.insert(host).second) << "asked twice: " << host;
+    if (i < 3) b.end(w, Outcome::miss, Note{Role::replica, {}});
+  }
+  b.end(w, Outcome::ok, Note{Role::primary, b.now});
+  const auto next = b.ask(keyed, 1);
+  EXPECT_EQ(b.last_host[next], b.last_host[w]) << "the answer has told it";
+}
+
+TEST(Primary, AWriteThatFindsNoneKeepsAnAttemptAndItsPace) {
+  auto s = make_settings();
+  s.probe_price = 0.08;
+  s.max_attempts = 6;
+  Bench b(s, 2);
+  const auto w = b.ask(keyed, 1);
+  for (int i = 0; i < 40 && b.refused.count(w) == 0; ++i) {
+    if (b.sent(w)) b.end(w, Outcome::miss, Note{Role::replica, {}});
+    if (b.now < Time(100s) + 200ms) {
+      EXPECT_LE(b.attempts[w], 2U) << "each host once in a while";
+    }
+    b.pass(50ms);
+  }
+  EXPECT_LE(b.attempts[w], 5U);
+}
+
+TEST(Primary, ProbesAreKeptForAGroupWithoutOne) {
+  auto s = make_settings();
+  s.probe_price = 0.08;
+  Bench b(s, 4);
+  b.report(1, b.now, true, 0.0);
+  std::size_t answered = 0;
+  for (int i = 0; i < 300; ++i) {  // reads that would like to know the queues: they may use half of what is saved
+    const auto r = b.ask(any);
+    for (; answered < b.probes.size(); ++answered) b.report(b.probes[answered], b.now, b.probes[answered] == 1, 0.0);
+    if (b.sent(r)) b.end(r, Outcome::ok, Note{Role::replica, {}});
+    b.pass(50ms);
+  }
+  const auto for_reads = b.probes.size();
+  EXPECT_GT(for_reads, 10U);
+  b.list(ListKind::delta, {Bench::entry(1, HostState::draining)});
+  b.ask(fresh);
+  b.pass(1s);
+  EXPECT_GE(b.probes.size(), for_reads + 3) << "a read that needs the primary is waiting";
+}
+
 // iae7ffd: an ejected primary kept every write waiting, though some would have been answered.
 TEST(Health, APrimaryThatFailsFastStaysInUseForWrites) {
   Bench b;
