Cold hosts get two thirds of what the tipping rule allows, not a half

Checked: admission is not the cause (its thresholds raised, the refused only timed out instead); the budget's rule was never near: the fullest window of any cold host held 132 of some 300 units of work.

Change: cold_share 0.67, the bound that late news excuses. The test of the lone cold host counts 78 sends where a half of the budget let 61 go.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -44,7 +44,7 @@
 constexpr double load_samples = 12, load_prior = 3;  // samples remembered; own ones that outweigh all groups
 constexpr double admit_least = 0.03;                 // share of the work that is always admitted
 constexpr double retry_ratio = 0.2, retry_cap = 10;  // further attempts earned by a request, saved at most
-constexpr double cold_share = 0.5;                   // of the tipping budget that is used: see cold_turn
+constexpr double cold_share = 0.67;                   // of the tipping budget that is used: see cold_turn
 constexpr double probe_bound_share = 0.2;            // probe period as a share of the tightest bound in use
 constexpr int asked_at_once =
     2;  // replicas probed for a read that finds none recent enough, where only probes tell
@@ -358,8 +358,8 @@
   ///   held work calls for all. So nothing is saved: a request goes with the chance that makes the part of
   ///   all that may come, repeats too. Where no warm host can serve it, what may be held counts as well; on a
   ///   primary, what needs it and reads that fall back share. Whole sends of a part need no chance.
-  /// - Share: late news excuses unless two thirds come from those told, so these may use two thirds. A half
-  ///   leaves a quarter of it to handshakes, probes, slow hosts, chance, demand ahead of its estimate.
+  /// - Share: late news excuses unless two thirds come from those told, so these may use two thirds. A third
+  ///   is left to handshakes, probes, slow hosts, chance; warm hosts are not always full, so parts are less.
   bool cold_turn(const Request& r, Host& h, double pick, bool alone) {
     if (warmth(h) >= 1) return true;
     const double window = ms(s_.tip_after) / 1000, warm = warmth(h, s_.tip_after);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -683,7 +683,7 @@
   f.begin();
   f.run(10s, 1, 2.0 / Fleet::groups);
   EXPECT_LE(f.fullest(), 1) << "its group's traffic doubles as well";
-  EXPECT_GE(f.sent(), 30) << "it is used";
+  EXPECT_GE(f.sent(), 70) << "it is used";  // 61 with a half of the budget
 }
 
 TEST(ColdHost, WorkHeldByAllRoutersDoesNotMeetWhenThePrimaryIsTold) {
