--- a/src/tools/lab/world.cpp
+++ b/src/tools/lab/world.cpp
@@ -377,6 +377,8 @@
   out_[{key.request.value, key.number}] = {serial, {host, 0, false}};
   const auto& w = static_cast<const LabWork&>(*work);
   const auto& k = world_.c.classes[w.cls].contract;
+  if (k.freshness <= Freshness::bounded)
+    ++(host && host->note().role == Role::primary ? world_.result.primary_reads : world_.result.replica_reads);
   Job job;
   job.work = w.work;
   job.write = k.freshness == Freshness::write;
--- a/src/tools/lab/world.h
+++ b/src/tools/lab/world.h
@@ -66,6 +66,7 @@
   std::vector<contracts::Entry> ledger;  // team x classes + class, over all gateways
   std::vector<levels::AxisChange> changes;  // of the first gateway
   std::uint64_t requests = 0, events = 0, attempts = 0, probes = 0;
+  std::uint64_t replica_reads = 0, primary_reads = 0;  // attempts at what any member or a recent one may answer
   std::uint64_t overlapping = 0, too_many = 0, unanswered = 0, late_answers = 0;  // rules broken: always to be 0
   [[nodiscard]] double worth_share() const;  // of all, what is beyond a budget counts a twentieth
   [[nodiscard]] double in_time_share(std::size_t cls) const;  // of those within their budget
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,6 +1,13 @@
 // What a hundred gateways do together: each sees a hundredth of the traffic, and its hosts feel all of them.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "cedarring/router.h"
 #include "tools/lab/world.h"
 
 namespace cedarring::test {
@@ -38,5 +45,158 @@
   }
 }
 
+TEST(Fleet, ReadsStayOnReplicasThoughEachGatewayHearsLittleOfThem) {
+  const auto r = run(fleet());
+  const auto& desk_view = r.within[0];
+  EXPECT_EQ(broken(r), 0U);
+  EXPECT_GT(desk_view.asked, 1000U);
+  // Of a load of a quarter the primaries could bear all: what counts is that they are not asked for it.
+  EXPECT_GT(r.replica_reads, 0.8 * static_cast<double>(r.replica_reads + r.primary_reads));
+}
+
+/// A hundred routers in a plain loop, one group of one primary and three replicas, a clock of 10 ms. What
+/// they call for and send is counted; hosts answer after 30 ms, but for those that the test takes out.
+class Hundred {
+ public:
+  explicit Hundred(double price = 0.08) {
+    for (std::uint32_t i = 0; i < 100; ++i) {
+      Settings s;
+      s.seed = i + 1, s.position = i, s.routers = 100;
+      s.discovery = DiscoveryMode::ask;
+      s.checks = StaleCheck::refuse;
+      s.answers_carry_position = s.may_cancel = s.retry_after = s.holding_costs = true;
+      s.probe_price = price;
+      s.max_attempts = 6;
+      RequestClass c;
+      c.name = "history", c.aim = 150ms, c.deadline = 490ms, c.freshness = Freshness::any;
+      s.classes = {c};
+      nodes.push_back({std::make_unique<Router>(s), {}, {}});
+    }
+  }
+  void start(std::uint32_t from, std::uint32_t to) {
+    for (auto i = from; i < to; ++i) {
+      give(i, Started{});
+      MembersListed l;
+      l.kind = ListKind::cached;
+      for (std::uint32_t h = 1; h <= 4; ++h) {
+        HostEntry e;
+        e.host = HostId{h}, e.group = GroupId{1};
+        l.entries.push_back(e);
+      }
+      give(i, l);
+    }
+  }
+  /// `rate` requests a second at each router.
+  void run(Duration length, double rate) {
+    for (const auto end = now + length; now < end; now += 10ms)
+      for (std::uint32_t i = 0; i < nodes.size(); ++i) {
+        auto& due = nodes[i].due;
+        while (!due.empty() && due.begin()->first <= now) {
+          const auto e = due.begin()->second;
+          due.erase(due.begin());
+          give(i, e);
+        }
+        if (static_cast<double>(random() % 100000) < rate * 1000) {
+          RequestArrived r;
+          r.request = RequestId{++next}, r.cls = ClassId{0}, r.group = GroupId{1}, r.time_left = 490ms;
+          give(i, r);
+        }
+      }
+  }
+  void give(std::uint32_t i, const Event& event) {
+    std::vector<Action> actions;
+    nodes[i].router->handle(now, event, actions);
+    for (const auto& a : actions) {
+      auto& due = nodes[i].due;
+      if (const auto* s = std::get_if<Send>(&a)) {
+        sends.emplace_back(now, s->host.value);
+        AttemptEnded e;
+        e.request = s->request, e.host = s->host, e.attempt = nodes[i].tries[s->request.value]++;
+        e.note.role = s->host.value == 1 ? Role::primary : Role::replica;
+        e.note.position = now;
+        const bool lost = s->host.value == silent;
+        e.outcome = lost ? Outcome::timeout : Outcome::ok;
+        e.elapsed = lost ? 490ms : 30ms;
+        e.request_ended = true;
+        due.emplace(now + e.elapsed, e);
+      } else if (const auto* p = std::get_if<Probe>(&a)) {
+        probes.emplace_back(now, p->host.value);
+        ProbeEnded e;
+        e.host = p->host, e.elapsed = 2ms, e.report.queue = 0;
+        if (p->host.value == silent) e.outcome = Outcome::timeout, e.elapsed = 250ms, e.report = {};
+        due.emplace(now + e.elapsed, e);
+      } else if (const auto* t = std::get_if<SetTimer>(&a)) {
+        due.emplace(std::max(t->due, now + 10ms), TimerFired{t->timer});
+      } else if (std::holds_alternative<Watch>(a)) {
+        calls.push_back(now);
+        if (random() % 2 == 0) due.emplace(now + 50ms, MembersListed{ListKind::failed, {}});
+      }
+    }
+  }
+  template <class Rows>
+  static std::size_t most(const Rows& rows, Duration window) {
+    std::size_t best = 0;
+    for (std::size_t i = 0, k = 0; i < rows.size(); ++i) {
+      while (rows[i] - rows[k] >= window) ++k;
+      best = std::max(best, i - k + 1);
+    }
+    return best;
+  }
+  std::size_t to(std::uint32_t host, Time from) const {
+    return static_cast<std::size_t>(std::count_if(
+        sends.begin(), sends.end(), [&](const auto& s) { return s.second == host && s.first >= from; }));
+  }
+  struct Node {
+    std::unique_ptr<Router> router;
+    std::multimap<Time, Event> due;
+    std::map<std::uint64_t, std::uint32_t> tries;
+  };
+  std::vector<Node> nodes;
+  std::vector<std::pair<Time, std::uint32_t>> sends, probes;
+  std::vector<Time> calls;
+  Time now = 100s;
+  std::uint32_t silent = 0;
+  std::uint64_t next = 0;
+  std::mt19937_64 random{5};
+};
+
+TEST(Fleet, SeventyThatStartTogetherSpreadTheirCallsForTheListThoughHalfFail) {
+  Hundred f;
+  f.start(0, 30);
+  f.run(3s, 0);
+  f.calls.clear();
+  const auto killed = f.now;
+  f.start(30, 100);
+  f.run(10s, 0);
+  ASSERT_GE(f.calls.size(), 70U);
+  EXPECT_LE(f.calls.size(), 200U) << "a call that fails is repeated once, and half of those again";
+  EXPECT_LE(Hundred::most(f.calls, 100ms), 20U);
+  EXPECT_LT(f.calls.back() - killed, Time(10s));
+}
+
+TEST(Fleet, ASilentHostIsNeitherAskedNorTriedByAllTheTime) {
+  Hundred f;
+  f.start(0, 100);
+  f.run(5s, 2);
+  f.silent = 3;
+  f.probes.clear();
+  f.run(5s, 2);  // each gateway meets it once
+  const auto from = f.now;
+  f.run(10s, 2);
+  std::vector<Time> asked;
+  for (const auto& [at, host] : f.probes)
+    if (host == 3) asked.push_back(at);
+  EXPECT_LE(Hundred::most(asked, 1s), 120U) << "probes of it by a hundred routers";
+  const auto all = static_cast<double>(f.sends.size());
+  ASSERT_GT(all, 1000);
+  // A host in four would have a quarter of 2,000 requests.
+  EXPECT_LE(f.to(3, from), 160U);
+  f.silent = 0;
+  f.run(20s, 2);
+  const auto back = f.now;
+  f.run(5s, 2);
+  EXPECT_GE(f.to(3, back), 100U) << "it is found again";
+}
+
 }  // namespace
 }  // namespace cedarring::test
