Socket tests: broken, malformed and oversized lists; a delta of six tenths of 60 hosts

No code of the program changed. A stream that ends in the middle of a line, a line that is no list, no JSON or longer than 1 MiB: the old list stays in use, requests go on, and exactly one call is made anew after its wait. A delta that drains 36 of 60 hosts at once is heeded as one: reads go to the primary alone from the first answer that shows it, and nothing more reaches the drained replicas.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -219,6 +219,56 @@
   EXPECT_TRUE(f.discovery->wait_watches(2));  // the stand-in sends no heartbeats
 }
 
+TEST(Gateway, AListThatIsBrokenOffMalformedOrTooLongKeepsTheOldOneAndCostsOneCall) {
+  const std::string half = R"({"version":7,"full":true,"servers":[{"id":"l","addr":"127.0.)";
+  for (const auto& [bytes, end] : {std::pair{half, true}, std::pair{std::string("{\"version\":7}\n"), false},
+                                   std::pair{std::string("{]\n"), false},
+                                   std::pair{std::string(std::size_t{1100} << 10U, 'x'), false}}) {
+    Fleet f;
+    ASSERT_TRUE(f.discovery->wait_watches(1));
+    PgClient c(f.program->pg());
+    EXPECT_EQ(c.query(statement("a1", "bid")).types, "TDCZ");
+    f.discovery->blurt(bytes, end);
+    EXPECT_EQ(c.query(statement("a2", "bid")).types, "TDCZ");
+    EXPECT_TRUE(f.discovery->wait_watches(2)) << bytes.substr(0, 20);
+    EXPECT_EQ(c.query(statement("a3", "history")).types, "TDCZ");
+    EXPECT_EQ(f.discovery->watches(), 2U) << bytes.substr(0, 20);
+  }
+}
+
+TEST(Gateway, ADeltaOfSixTenthsOfSixtyHostsIsHeededAsOne) {
+  Fleet f;
+  ASSERT_TRUE(f.discovery->wait_watches(1));
+  // 57 more hosts in 14 other groups, at an address where nobody listens; 36 of the 60 change at once.
+  std::vector<std::string> others, changed;
+  for (int i = 0; i < 57; ++i) {
+    const auto in_group = [&](const char* state) {
+      auto m = member("x" + std::to_string(i), "127.0.0.1:1", i % 4 == 0, state);
+      const std::string cell = "\"cell\":1";
+      m.replace(m.find(cell), cell.size(), "\"cell\":" + std::to_string(2 + i / 4));
+      return m;
+    };
+    others.push_back(in_group("SERVING"));
+    if (i < 34) changed.push_back(in_group("DRAINING"));
+  }
+  f.discovery->tell(list_of(2, others, false));
+  PgClient c(f.program->pg());
+  EXPECT_EQ(c.query(statement("a0", "history")).types, "TDCZ");
+  changed.push_back(member("l", f.left.address(), false, "DRAINING"));
+  changed.push_back(member("r", f.right.address(), false, "DRAINING"));
+  f.discovery->tell(list_of(3, changed, false));
+  // Reads go on to the replicas until it has been taken, then to the primary alone.
+  int until = 0;
+  for (; until < 200; ++until)
+    if (const auto a = c.query(statement("b" + std::to_string(until), "history"));
+        a.value == "from " + f.primary.address())
+      break;
+  ASSERT_LT(until, 200);
+  const auto before = f.left.count() + f.right.count();
+  for (int i = 0; i < 40; ++i) EXPECT_EQ(c.query(statement("c" + std::to_string(i), "history")).types, "TDCZ");
+  EXPECT_EQ(f.left.count() + f.right.count(), before);
+}
+
 TEST(Gateway, StartupAndQueriesInOneSegmentAreAnsweredInOrder) {
   Fleet f;
   PgClient c(f.program->pg(), false);
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -405,6 +405,20 @@
   if (!watches_.empty()) watches_.back()->send(head + list + "\n\r\n");
 }
 
+void Discovery::blurt(const std::string& bytes, bool end) {
+  const std::lock_guard lock(mutex_);
+  char head[32];
+  std::snprintf(head, sizeof head, "%zx\r\n", bytes.size() + 1000);
+  if (watches_.empty()) return;
+  watches_.back()->send(head + bytes);
+  if (end) watches_.back()->shut_down();
+}
+
+std::size_t Discovery::watches() {
+  const std::lock_guard lock(mutex_);
+  return watches_.size();
+}
+
 std::string Program::ctl(const std::string& words) const {
   const auto command = std::string(CEDARRING_GATEWAY) + " ctl -s " + dir_ + "/admin.sock " + words + " 2>&1";
   FILE* pipe = ::popen(command.c_str(), "r");
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -120,6 +120,9 @@
   [[nodiscard]] const std::string& address() const { return address_; }
   bool wait_watches(std::size_t n);
   void tell(const std::string& list);
+  /// Sends the bytes inside an unfinished chunk of the last watch and, where told, ends its connection.
+  void blurt(const std::string& bytes, bool end);
+  std::size_t watches();
 
  private:
   void run();
