--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cedarring/router.h"
+#include "fleet/probe_budget.h"
 #include "router/state.h"
 
 namespace cedarring {
@@ -50,7 +51,7 @@
     2;  // replicas probed for a read that finds none recent enough, where only probes tell
 constexpr double probe_load = 0.01;    // urgent probes of all routers: so many in a typical latency
 constexpr double probe_points = 0.01;  // probing may cost about this much of the result
-constexpr double probe_cap = 10;        // probes saved at most
+constexpr double probe_cap = 10, probe_kept = 0.5;  // probes saved at most; share kept for urgent ones
 constexpr double hold_share = 0.45;    // of its time that a request may wait unsent, where holding costs
 constexpr double forget_aims = 60;     // longest aims after which a session's last write becomes the floor
 
@@ -58,7 +59,8 @@
 
 class Router::Impl {
  public:
-  explicit Impl(Settings settings) : s_(std::move(settings)), random_(s_.seed) {
+  explicit Impl(Settings settings)
+      : s_(std::move(settings)), random_(s_.seed), probes_(s_.probe_price, probe_points, probe_cap) {
     check(s_);
     for (const auto& c : s_.classes) {
       class_latency_.push_back(scale(c.aim, default_latency));
@@ -432,7 +434,7 @@
   /// Asks replicas (one where answers tell positions too), or the primary, when too little is known. Guards
   /// the primary where traffic is too thin to keep positions fresh. Harm: a read waits one probe longer.
   bool seek(Group& g, Host* top, bool primary) {
-    if (!s_.may_probe || !can_probe(probe_cap / 2)) return false;
+    if (!s_.may_probe || !can_probe(probe_kept)) return false;
     auto& asked = g.asked[primary ? 1 : 0];
     const auto pending = [&](const Host* m) { return m->probing && (m == top) == primary; };
     if (now_ < asked.until) return std::any_of(g.members.begin(), g.members.end(), pending);
@@ -444,7 +446,7 @@
     if (from.empty()) return false;
     asked.until = now_ + std::clamp(probe_time_ * 4, beat_, shortest_aim_ / 4);
     const int most = s_.answers_carry_position ? 1 : asked_at_once;
-    for (int i = 0; i < most && !from.empty() && can_probe(probe_cap / 2); ++i) {
+    for (int i = 0; i < most && !from.empty() && can_probe(probe_kept); ++i) {
       Host* h = weighted_draw(from);
       probe(*h);
       from.erase(std::remove_if(from.begin(), from.end(), [&](const auto& f) { return f.first == h; }),
@@ -456,13 +458,9 @@
   /// Probes are paid for by requests: one of hundreds of routers sees few, and what each asks for a read of
   /// its own comes to more probes than requests over all. Half of what is saved is kept for groups whose
   /// primary is not known. Harm: without one a queue is not known, a position old.
-  bool can_probe(double kept = 0) const { return s_.probe_price <= 0 || probe_tokens_ >= 1 + kept; }
-  void earn_probe() {
-    if (s_.probe_price <= 0) return;
-    probe_tokens_ = std::min(probe_cap, probe_tokens_ + probe_points / s_.probe_price);
-  }
+  bool can_probe(double kept = 0) const { return probes_.can(kept); }
   void probe(Host& h) {
-    probe_tokens_ -= 1;
+    probes_.take();
     h.probing = true;
     h.last_probe = now_;
     out_->push_back(Probe{h.id});
@@ -642,7 +640,7 @@
     }
     ++g.held;
     retry_tokens_ = std::min(retry_cap, retry_tokens_ + retry_ratio * tuning_.retry_budget);
-    earn_probe();
+    probes_.earn();
     arrived_.add(now_, r.cls.value, 1);
     const auto& c = s_.classes[e.cls.value];
     if (c.freshness == Freshness::session) {
@@ -989,7 +987,7 @@
       shortest = std::min(shortest, g.period);
       for (Host* m : g.members) {
         auto& h = *m;
-        if (h.probing || !open(h) || !can_probe(urgent ? 0 : probe_cap / 2)) continue;
+        if (h.probing || !open(h) || !can_probe(urgent ? 0 : probe_kept)) continue;
         const bool doubt = urgent || h.quiet(now_) > patience(h) / 2;
         const auto period = std::max(doubt ? urgent_period() : g.period, cold_gap(h));
         if (period == forever || (h.last_probe != never && now_ - h.last_probe < scale(period, h.phase)))
@@ -1028,7 +1026,7 @@
   std::multiset<Time> warm_at_;         // when the cold ones of them will be warm
   int ready_ = 0;                       // hosts listed as ready
   double retry_tokens_ = retry_cap;
-  double probe_tokens_ = probe_cap;  // probes that requests have paid for
+  fleet::ProbeBudget probes_;  // what requests have paid for
   Tuning tuning_;  // while service is reduced
   double write_value_ = 0;  // worth over cost of the dearest write class
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cedarring/router.h"
+#include "fleet/probe_budget.h"
 #include "tools/lab/world.h"
 
 namespace cedarring::test {
@@ -15,6 +16,7 @@
 
 using namespace lab;
 using namespace std::chrono_literals;
+namespace fleet_budget = cedarring::fleet;
 
 /// The days of the large fleet in small: 100 gateways, 14 groups of 4, some three requests a second and
 /// gateway.
@@ -45,6 +47,25 @@
   }
 }
 
+TEST(ProbeBudget, RequestsPayForProbesAndSomeAreKept) {
+  fleet_budget::ProbeBudget b(0.08, 0.01, 10);
+  int taken = 0;
+  for (; b.can(0.5); ++taken) b.take();
+  EXPECT_EQ(taken, 5) << "half is kept";
+  for (; b.can(); ++taken) b.take();
+  EXPECT_EQ(taken, 10);
+  for (int i = 0; i < 7; ++i) b.earn();
+  EXPECT_FALSE(b.can()) << "seven eighths of one";
+  b.earn();
+  EXPECT_TRUE(b.can());
+  for (int i = 0; i < 100000; ++i) b.earn();
+  for (taken = 0; b.can(); ++taken) b.take();
+  EXPECT_EQ(taken, 10) << "no more is saved";
+  fleet_budget::ProbeBudget free(0, 0.01, 10);
+  for (int i = 0; i < 100; ++i) free.take();
+  EXPECT_TRUE(free.can(1));
+}
+
 TEST(Fleet, ReadsStayOnReplicasThoughEachGatewayHearsLittleOfThem) {
   const auto r = run(fleet());
   const auto& desk_view = r.within[0];
