Tests: a busy discovery asked again; a drained host gets nothing from a hundred routers

No code of the program changed. Over sockets: a discovery that answers 503 twice is asked a third time, and requests go by the known list meanwhile. In one process: a hundred routers told that a host drains or is gone send it nothing more, and the others take its part.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -195,6 +195,25 @@
   EXPECT_LT(f.calls.back() - killed, Time(10s));
 }
 
+TEST(Fleet, WhatIsToldDrainingOrGoneGetsNothingMoreFromAnyOfThem) {
+  for (const auto state : {HostState::draining, HostState::gone}) {
+    Hundred f;
+    f.start(0, 100);
+    f.run(3s, 3);
+    ASSERT_GT(f.to(2, Time(100s)), 20U);
+    MembersListed l;
+    l.kind = ListKind::delta;
+    HostEntry e;
+    e.host = HostId{2}, e.group = GroupId{1}, e.state = state;
+    l.entries.push_back(e);
+    const auto told = f.now;
+    for (std::uint32_t i = 0; i < 100; ++i) f.give(i, l);
+    f.run(5s, 3);
+    EXPECT_EQ(f.to(2, told), 0U);
+    EXPECT_GT(f.to(3, told), 100U);
+  }
+}
+
 TEST(Fleet, ASilentHostIsNeitherAskedNorTriedByAllTheTime) {
   Hundred f;
   f.start(0, 100);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -236,6 +236,18 @@
   }
 }
 
+TEST(Gateway, ABusyDiscoveryIsAskedAgainWhileRequestsGoByTheKnownList) {
+  PgStandIn primary;
+  primary.primary = true;
+  const auto known = list_of(1, {member("p", primary.address(), true)});
+  Discovery discovery(list_of(9, {member("p", primary.address(), true)}), 2);
+  Program program(config_json(discovery.address(), known));
+  PgClient c(program.pg());
+  EXPECT_EQ(c.query(statement("a1", "bid")).types, "TDCZ");
+  EXPECT_TRUE(discovery.wait_watches(1)) << "the third call";
+  EXPECT_EQ(c.query(statement("a2", "bid")).types, "TDCZ");
+}
+
 TEST(Gateway, ADeltaOfSixTenthsOfSixtyHostsIsHeededAsOne) {
   Fleet f;
   ASSERT_TRUE(f.discovery->wait_watches(1));
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -354,8 +354,9 @@
          R"(,"servers":[)" + all + "]}";
 }
 
-Discovery::Discovery(std::string first)
+Discovery::Discovery(std::string first, int busy)
     : first_(std::move(first)),
+      busy_(busy),
       listener_(wire::listen_on("127.0.0.1:0")),
       address_(wire::bound_address(listener_)) {
   fcntl(listener_.get(), F_SETFL, 0);
@@ -382,6 +383,11 @@
       if (!byte) break;
       request += *byte;
     }
+    if (busy_ > 0) {
+      --busy_;
+      socket->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", true);
+      continue;
+    }
     socket->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     {
       const std::lock_guard lock(mutex_);
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -115,7 +115,8 @@
 /// Discovery: tells the same first list to each watch, then what tell() says.
 class Discovery {
  public:
-  explicit Discovery(std::string first);
+  /// The first `busy` calls are answered with 503, as one that waited too long is.
+  explicit Discovery(std::string first, int busy = 0);
   ~Discovery();
   [[nodiscard]] const std::string& address() const { return address_; }
   bool wait_watches(std::size_t n);
@@ -127,6 +128,7 @@
  private:
   void run();
   std::string first_;
+  int busy_;
   wire::Fd listener_;
   std::string address_;
   std::mutex mutex_;
