One Service for both gates; the probe budget is asked without a wrapper

Read over, nothing decided anew. levels::Service and contracts::Service had the same five fields, and ServiceConfig filled each in its own copy of the same lines: both are gates::Service now, filled in one place (ServiceConfig::for_gate), each gate with its own draws as before.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -190,25 +190,19 @@
   return c;
 }
 
-levels::Service ServiceConfig::for_levels() const {
-  levels::Service s;
+gates::Service ServiceConfig::for_gate(std::uint64_t salt) const {
+  gates::Service s;
   s.classes = settings.classes;
   s.tenants = budgets.size();
   s.max_pause = settings.max_retry_after;
   s.pauses = settings.retry_after;
-  s.seed = settings.seed ^ 0x6c6576656c73ULL;  // not the router's own draws
+  s.seed = settings.seed ^ salt;  // neither the router's own draws nor another gate's
   return s;
 }
 
-contracts::Service ServiceConfig::for_contracts() const {
-  contracts::Service s;
-  s.classes = settings.classes;
-  s.tenants = budgets.size();
-  s.max_pause = settings.max_retry_after;
-  s.pauses = settings.retry_after;
-  s.seed = settings.seed ^ 0x7465726d73ULL;
-  return s;
-}
+levels::Service ServiceConfig::for_levels() const { return for_gate(0x6c6576656c73ULL); }
+
+contracts::Service ServiceConfig::for_contracts() const { return for_gate(0x7465726d73ULL); }
 
 void read_gateway_file(const std::string& text, const std::string& name, Config& c) {
   c.file = parse_gateway_file(text, name);
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -26,6 +26,9 @@
   [[nodiscard]] contracts::Service for_contracts() const;
   /// What levels need to know of this service.
   [[nodiscard]] levels::Service for_levels() const;
+
+ private:
+  [[nodiscard]] gates::Service for_gate(std::uint64_t salt) const;
 };
 
 struct Config {
--- a/src/contracts/contracts.h
+++ b/src/contracts/contracts.h
@@ -18,14 +18,7 @@
 
 namespace cedarring::contracts {
 
-/// What contracts need to know of the service. Set once.
-struct Service {
-  std::vector<RequestClass> classes;
-  std::size_t tenants = 0;
-  Duration max_pause{500'000};
-  bool pauses = true;
-  std::uint64_t seed = 0;
-};
+using gates::Service;
 
 /// What a group's primary, or its replicas together, can bear just now.
 struct Scarcity {
--- a/src/gates/gate.h
+++ b/src/gates/gate.h
@@ -4,11 +4,21 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "cedarring/router.h"
 
 namespace cedarring::gates {
 
+/// What a gate needs to know of the service that it stands before. Set once; durations in microseconds.
+struct Service {
+  std::vector<RequestClass> classes;
+  std::size_t tenants = 0;
+  Duration max_pause{500'000};  // clients keep to no longer one
+  bool pauses = true;           // whether they are told one
+  std::uint64_t seed = 0;
+};
+
 /// Who has turned a request away, and why. Closed: the log, the client's error and reports all name these.
 enum class Decider : std::uint8_t { nobody, levels, contracts, router };
 enum class Reason : std::uint8_t {
--- a/src/levels/levels.h
+++ b/src/levels/levels.h
@@ -25,14 +25,7 @@
   std::size_t groups_most = 1024;     // groups watched; the others are on the normal level
 };
 
-/// What the ladder needs to know of the service. Set once; durations in microseconds.
-struct Service {
-  std::vector<RequestClass> classes;
-  std::size_t tenants = 0;
-  Duration max_pause{500'000};  // clients keep to no longer one
-  bool pauses = true;           // whether they are told one
-  std::uint64_t seed = 0;
-};
+using gates::Service;
 
 /// What is known of a group at an evaluation.
 struct GroupState {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -45,7 +45,7 @@
 constexpr double load_samples = 12, load_prior = 3;  // samples remembered; own ones that outweigh all groups
 constexpr double admit_least = 0.03;                 // share of the work that is always admitted
 constexpr double retry_ratio = 0.2, retry_cap = 10;  // further attempts earned by a request, saved at most
-constexpr double cold_share = 0.67;                   // of the tipping budget that is used: see cold_turn
+constexpr double cold_share = 0.67;                  // of the tipping budget that is used: see cold_turn
 constexpr double probe_bound_share = 0.2;            // probe period as a share of the tightest bound in use
 constexpr int asked_at_once =
     2;  // replicas probed for a read that finds none recent enough, where only probes tell
@@ -434,7 +434,7 @@
   /// Asks replicas (one where answers tell positions too), or the primary, when too little is known. Guards
   /// the primary where traffic is too thin to keep positions fresh. Harm: a read waits one probe longer.
   bool seek(Group& g, Host* top, bool primary) {
-    if (!s_.may_probe || !can_probe(probe_kept)) return false;
+    if (!s_.may_probe || !probes_.can(probe_kept)) return false;
     auto& asked = g.asked[primary ? 1 : 0];
     const auto pending = [&](const Host* m) { return m->probing && (m == top) == primary; };
     if (now_ < asked.until) return std::any_of(g.members.begin(), g.members.end(), pending);
@@ -446,7 +446,7 @@
     if (from.empty()) return false;
     asked.until = now_ + std::clamp(probe_time_ * 4, beat_, shortest_aim_ / 4);
     const int most = s_.answers_carry_position ? 1 : asked_at_once;
-    for (int i = 0; i < most && !from.empty() && can_probe(probe_kept); ++i) {
+    for (int i = 0; i < most && !from.empty() && probes_.can(probe_kept); ++i) {
       Host* h = weighted_draw(from);
       probe(*h);
       from.erase(std::remove_if(from.begin(), from.end(), [&](const auto& f) { return f.first == h; }),
@@ -455,10 +455,6 @@
     return true;
   }
 
-  /// Probes are paid for by requests: one of hundreds of routers sees few, and what each asks for a read of
-  /// its own comes to more probes than requests over all. Half of what is saved is kept for groups whose
-  /// primary is not known. Harm: without one a queue is not known, a position old.
-  bool can_probe(double kept = 0) const { return probes_.can(kept); }
   void probe(Host& h) {
     probes_.take();
     h.probing = true;
@@ -487,8 +483,8 @@
     Group& g = groups_[r.group];
     Host* top = primary(r.group);
     if (only_primary(r.cls.value)) {
-      if ((!top || !usable(*top)) && c.freshness == Freshness::write) return guess(r, g, top);
-      if (!top || !usable(*top) || !room(*top)) return nullptr;
+      if (!top || !usable(*top)) return c.freshness == Freshness::write ? guess(r, g, top) : nullptr;
+      if (!room(*top)) return nullptr;
       if (reports_queue_ && !queue_known(*top) && seek(g, top, true)) return nullptr;
       return jammed(*top, r) || !cold_turn(r, *top, 1, true) ? nullptr : top;
     }
@@ -987,7 +983,7 @@
       shortest = std::min(shortest, g.period);
       for (Host* m : g.members) {
         auto& h = *m;
-        if (h.probing || !open(h) || !can_probe(urgent ? 0 : probe_kept)) continue;
+        if (h.probing || !open(h) || !probes_.can(urgent ? 0 : probe_kept)) continue;
         const bool doubt = urgent || h.quiet(now_) > patience(h) / 2;
         const auto period = std::max(doubt ? urgent_period() : g.period, cold_gap(h));
         if (period == forever || (h.last_probe != never && now_ - h.last_probe < scale(period, h.phase)))
@@ -1026,7 +1022,10 @@
   std::multiset<Time> warm_at_;         // when the cold ones of them will be warm
   int ready_ = 0;                       // hosts listed as ready
   double retry_tokens_ = retry_cap;
-  fleet::ProbeBudget probes_;  // what requests have paid for
+  /// Probes are paid for by requests: one of hundreds of routers sees few, and what each asks for a read of
+  /// its own comes to more probes than requests over all. Half of what is saved is kept for groups whose
+  /// primary is not known. Harm: without one a queue is not known, a position old.
+  fleet::ProbeBudget probes_;
   Tuning tuning_;  // while service is reduced
   double write_value_ = 0;  // worth over cost of the dearest write class
 };
