Requests without a free connection to a host wait for one; hosts may have what clients leave

Cause, the same for both: SocketUpstream::run ends an attempt as moot at the bound, Router::again takes that as unseen at no cost, so six attempts go in one turn of the loop; 40 attempts and the probes of 60 unknown hosts pass the 48 connections. A probe that found no place counted as lost, too (Router on ProbeEnded). Ruled out: hosts that turn away, time-outs. Change: Router::limit bounds attempts out at once (7/8 of the connections, the rest for probes), what finds no place waits, groups in turn (pump_all); memory::split_places lets hosts have what clients do not use; moot probes say nothing of a host.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -225,6 +225,9 @@
   /// By group. The time must not go back; no event is taken and nothing decided.
   void view(Time now, std::vector<GroupView>& out);
   void tune(const Tuning& tuning);
+  /// How many attempts may be out at once, 1 or more; what finds no place waits within its time. Those that are out
+  /// already stay.
+  void limit(int places);
   /// Other settings from now on. Classes keep their numbers: there are as many as before or more, and one whose
   /// requests are open must not change. Throws as the constructor does, and then changes nothing.
   void retune(Settings settings);
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -1,5 +1,7 @@
 #include "app/service.h"
 
+#include "memory/places.h"
+
 namespace cedarring::app {
 
 Service::Service(ev::loop_ref loop, wire::Reaper& reaper, memory::Broker::Clock clock, const ServiceConfig& c,
@@ -10,6 +12,7 @@
       clock_(clock),
       log_(log),
       whole_{0, descriptors * 3 / 4, descriptors / 4},
+      shares_(whole_),
       own_(c.settings),
       for_levels_(c.for_levels()),
       for_contracts_(c.for_contracts()),
@@ -19,6 +22,8 @@
       broker_(c.settings, c.budgets, c.zones, clock, upstream_),
       clients_(loop, reaper, broker_, c.listen, descriptors * 3 / 4, parts.client, std::move(listener)) {
   upstream_.attach(broker_);
+  clients_.on_change([this] { share_places(); });
+  upstream_.on_full([this] { share_places(); });
   if (!c.discovery.empty())
     discovery_.emplace(
         loop, reaper, c.discovery, known_.version,
@@ -36,6 +41,19 @@
   for (const auto& h : before->heard) broker_.learn(h.host, h.role, h.position);
 }
 
+/// Alone, clients and hosts have what they need of the sum; beside another process each part is fixed.
+void Service::share_places() {
+  if (shares_.hosts < whole_.hosts || shares_.clients < whole_.clients) {
+    clients_.set_most(shares_.clients);
+    return upstream_.set_most(shares_.hosts), upstream_.trim(whole_.hosts);
+  }
+  const auto all = whole_.clients + whole_.hosts;
+  auto split = memory::split_places(all, clients_.taken(), upstream_.connections());
+  upstream_.set_most(split.hosts);
+  upstream_.trim(split.hosts);
+  clients_.set_most(memory::split_places(all, clients_.taken(), upstream_.connections()).clients);
+}
+
 void Service::start_levels(const levels::Config& config) {
   LevelsRunner::Hooks hooks;
   hooks.inputs = [this] {
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -46,9 +46,9 @@
   [[nodiscard]] std::size_t clients() const { return clients_.size(); }
   [[nodiscard]] const handover::Shares& whole() const { return whole_; }
   void limit(const handover::Shares& shares) {
-    clients_.set_most(shares.clients);
-    upstream_.set_most(shares.hosts);
+    shares_ = shares;
     clients_.set_room(shares.memory / 2);  // a quarter of the memory: buffers may have half
+    share_places();
   }
   void drain() { clients_.drain(); }
   /// Watches the list at another address; the list stays what it is until that tells otherwise.
@@ -77,13 +77,14 @@
 
  private:
   void watch();
+  void share_places();
   void start_levels(const levels::Config& config);
   ev::loop_ref loop_;
   std::string front_;
   memory::Broker::Clock clock_;
   telemetry::Log& log_;
-  handover::Shares whole_;
-  Settings own_;  // of the start
+  handover::Shares whole_, shares_;  // alone; now
+  Settings own_;                     // of the start
   levels::Service for_levels_;
   contracts::Service for_contracts_;
   memory::MemberList known_;
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -2,6 +2,7 @@
 // takes final answers, an Upstream carries attempts out. Decides nothing itself.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -141,6 +142,8 @@
   /// What the router believes of each group, by id.
   void view(std::vector<GroupView>& out) { router_.view(clock_(), out); }
   void tune(const Tuning& tuning) { router_.tune(tuning); }
+  /// How many attempts may be out at once, 1 or more.
+  void limit(std::size_t attempts) { router_.limit(static_cast<int>(std::max<std::size_t>(attempts, 1))); }
   /// Other settings and budgets from now on, checked already; open requests keep the class that they came in
   /// under.
   void retune(Settings settings, std::vector<Budget> budgets);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -24,8 +24,8 @@
                  class_gain = 0.03;       // EWMA gains: a host against its class, a class (slow)
 constexpr double default_latency = 0.25;  // of the class aim, until measured
 constexpr double fail_gain = 0.2;         // EWMA gain of a host's failures
-constexpr double refused_weight = 3;      // failures that one refused connection counts for: enough to eject
 constexpr double eject_at = 0.5;          // failure score from which a host is ejected
+constexpr double refused_weight = 3;      // failures that one refused connection counts for: enough to eject
 constexpr int silent_probes = 2;          // probes lost in a row that make a host suspect
 constexpr double doubt_at = 0.5;          // doubt of the probes themselves from which lost ones say nothing
 constexpr double silence_latencies = 5;   // expected latencies without an answer that make a host suspect
@@ -42,7 +42,8 @@
 constexpr double load_full = 2;      // what an answer 'full' counts for
 constexpr double queue_news = 1.3;   // useful probe periods for which a reported queue is believed
 constexpr double busy_util = 0.9;    // reported use of cores from which a host counts as full
-constexpr double group_seconds = 12, rate_seconds = 3;  // memory of one group's load (few samples), of rates
+constexpr double group_seconds = 12,
+                 rate_seconds = 3;  // memory of one group's load (few samples), of rates
 constexpr double load_samples = 12, load_prior = 3;  // samples remembered; own ones that outweigh all groups
 constexpr double admit_least = 0.03;                 // share of the work that is always admitted
 constexpr double retry_ratio = 0.2, retry_cap = 10;  // further attempts earned by a request, saved at most
@@ -111,6 +112,7 @@
     }
   }
   void tune(const Tuning& t) { tuning_ = t; }
+  void limit(int places) { places_ = places; }
   bool knows(HostId id) const { return hosts_.count(id) > 0; }
   std::size_t held() const {
     std::size_t n = hosts_.size() + requests_.size();
@@ -160,6 +162,7 @@
     if (fresh || h.group != e.group) {
       h.id = e.host;
       h.group = e.group;
+      if (fresh) h.outlier = fleet::Outlier({fail_gain, rate_seconds, eject_at});
       h.window = window_start / s_.routers;
       Group& g = groups_[e.group];
       for (auto& l : g.load) l.memory = group_seconds, l.most = load_samples;
@@ -179,8 +182,7 @@
     const Time born = e.born.value_or(never);
     if (born > h.cold_since && now_ - born < s_.cold_for) {
       h.cold_since = born;
-      h.fails = 0;
-      h.ejected_until = never;
+      h.outlier.forget();
       h.lost_probes = 0;
       h.slowness = 1;
     }
@@ -275,33 +277,18 @@
 
   bool healthy(const Host& h) const {
     if (silent(h)) return false;
-    if (h.ejected_until == never) return true;
-    return now_ >= h.ejected_until && h.in_flight() == 0;  // a single trial
+    return !h.outlier.ejected() || (h.outlier.on_trial(now_) && h.in_flight() == 0);  // a single trial
   }
 
   /// What has nowhere else to go uses a primary in spite of its errors (iae7ffd), not of silence or refusals.
   bool usable(const Host& h) const { return healthy(h) || (h.refusals == 0 && !silent(h)); }
 
-  /// Of many outcomes each counts for little; one that comes after long counts for all not seen since.
-  double gain(const Host& h) const {
-    const double gap = ms(now_ - std::max(h.judged, started_)) / 1000;
-    return std::max(fail_gain, 1 - std::exp(-gap / rate_seconds));
-  }
-  /// A verdict fades once its time is up: else a host that has failed after long quiet would never be tried.
-  double ill(const Host& h) const {
-    if (now_ <= h.ejected_until || h.ejected_until == never) return h.fails;
-    return h.fails * std::exp(-ms(now_ - h.ejected_until) / 1000 / rate_seconds);
-  }
   void failed(Host& h, double weight) {
-    h.fails += std::min(1.0, gain(h) * weight) * (1 - h.fails);
-    h.judged = now_;
-    if (h.fails < eject_at) return;
+    if (!h.outlier.failed(now_, started_, weight)) return;
     // What only the primary can take has nowhere else to go meanwhile.
     const auto gap = std::min(groups_[h.group].send_gap(), longest_aim_ * 8);
-    const auto spared = h.role == Role::primary ? Duration{} : gap;
-    const auto first = std::max(shortest_aim_ / 2, spared);
-    h.backoff = std::max(first, std::min(h.backoff * 2, longest_aim_ * 16));
-    h.ejected_until = now_ + scale(h.backoff, 0.75 + draw01() / 2);
+    const auto first = std::max(shortest_aim_ / 2, h.role == Role::primary ? Duration{} : gap);
+    h.outlier.eject(now_, first, longest_aim_ * 16, 0.75 + draw01() / 2);
   }
 
   void answered(Host& h) {
@@ -311,13 +298,7 @@
     h.refusals = 0;
     if (h.lost_probes > 0) probe_doubt_ += (1 - probe_doubt_) * fail_gain;
     h.lost_probes = 0;
-    h.fails -= gain(h) * h.fails;
-    h.judged = now_;
-    if (h.ejected_until != never && now_ >= h.ejected_until) {
-      h.ejected_until = never;
-      h.fails = std::min(h.fails, eject_at * 0.8);
-    }
-    if (h.fails < 0.1) h.backoff = Duration::zero();
+    h.outlier.answered(now_, started_);
   }
 
   void learn_latency(Host& h, const Request& r, Duration elapsed) {
@@ -366,7 +347,7 @@
     if (warmth(h) >= 1) return true;
     const double window = ms(s_.tip_after) / 1000, warm = warmth(h, s_.tip_after);
     const double part = cold_share * s_.tip_multiple * warm * window * host_rate();
-    const double left = part - h.spent_since(now_ - s_.tip_after);
+    const double left = part - h.spent.since(now_ - s_.tip_after);
     if (left >= work(r.cls.value)) return true;
     const double all = std::max(1.0, arrived_.sum(now_)), seconds = arrived_.seconds(now_ - started_);
     const double of_group =
@@ -471,6 +452,7 @@
 
   /// The ordinary path: the draw among replicas, then the primary. Null: nobody can take it now.
   Host* choose(const Request& r) {
+    if (attempts_out_ >= places_) return nullptr;
     const auto& c = s_.classes[r.cls.value];
     Group& g = groups_[r.group];
     Host* top = primary(r.group);
@@ -504,7 +486,8 @@
             continue;
           }
           const double latency = std::max(0.1, ms(expected(h, r.cls)));
-          const double w = step * warmth(h) * (1 - ill(h)) * (1 - ill(h)) / (latency * (h.in_flight() + 1));
+          const double well = step * warmth(h) * std::pow(1 - h.outlier.ill(now_), 2);
+          const double w = well / (latency * (h.in_flight() + 1));
           eligible.emplace_back(&h, w);
         }
         nowhere = nowhere && !within && !busy;
@@ -689,6 +672,15 @@
     g.waiting = std::move(left);
   }
 
+  /// The groups in turn, from behind the one that sent last: places that all of them share may be short.
+  void pump_all() {
+    std::vector<GroupId> order;
+    for (const auto& [id, g] : groups_)
+      if (!g.waiting.empty()) order.push_back(id);
+    std::rotate(order.begin(), std::upper_bound(order.begin(), order.end(), turn_), order.end());
+    for (const auto id : order) pump(id);
+  }
+
   /// Where holding costs, what found no host by then is refused while its client can still try elsewhere.
   /// Harm: a request that a host would have taken in the rest of its time is refused.
   bool held_long(const Request& r) const {
@@ -726,8 +718,9 @@
     a.sent = now_;
     r.attempts.push_back(a);
     ++r.out;
+    if (++attempts_out_ >= places_) turn_ = r.group;
     h.out.insert(now_);
-    if (warmth(h) < 1) h.spent.emplace_back(now_, work(r.cls.value));
+    if (warmth(h) < 1) h.spent.add(now_, work(r.cls.value));
     h.last_sent = now_;
     out_->push_back(Send{r.id, h.id, Time::zero()});
   }
@@ -740,6 +733,7 @@
     if (!a.out || a.host != e.host) return;
     a.out = false;
     --r.out;
+    const bool full = attempts_out_-- >= places_;
     const auto group = r.group;
     if (const auto it = hosts_.find(e.host); it != hosts_.end()) settle(it->second, r, a, e);
     const bool ran = e.outcome == Outcome::ok || e.outcome == Outcome::error ||
@@ -762,7 +756,8 @@
     } else if (r.out == 0) {
       again(r, e.outcome, now_ - a.sent);
     }
-    pump(group);
+    if (full) pump_all();
+    else pump(group);
   }
 
   /// Whatever an outcome tells of its host.
@@ -919,7 +914,7 @@
       probe_time_ += (e.elapsed - probe_time_) / 8;
       // One that could not be read changes no belief but that the host lives.
       if (e.report.position || e.report.role || e.report.queue) take(h, e.report);
-    } else {
+    } else if (e.outcome != Outcome::moot) {  // that one found no place here: no fault of the host's
       ++h.lost_probes;
     }
     pump(h.group);
@@ -935,8 +930,7 @@
     }
     const auto usual = probe_round();
     rescue();
-    for (auto& [id, g] : groups_)
-      if (!g.waiting.empty()) pump(id);
+    pump_all();
     idle_due_ = usual == forever ? forever : now_ + std::max(beat_, usual / 4);
     arm();
   }
@@ -1032,6 +1026,8 @@
   /// primary is not known. Harm: without one a queue is not known, a position old.
   fleet::ProbeBudget probes_;
   Tuning tuning_;  // while service is reduced
+  int places_ = 1 << 30, attempts_out_ = 0;  // attempts that may be out at once; that are
+  GroupId turn_{INT64_MIN};                  // which sent last where places are short
   double write_value_ = 0;  // worth over cost of the dearest write class
 };
 
@@ -1045,6 +1041,7 @@
 bool Router::knows(HostId host) const { return impl_->knows(host); }
 void Router::view(Time now, std::vector<GroupView>& out) { impl_->view(now, out); }
 void Router::tune(const Tuning& tuning) { impl_->tune(tuning); }
+void Router::limit(int places) { impl_->limit(places); }
 void Router::retune(Settings settings) { impl_->retune(std::move(settings)); }
 std::size_t Router::held() const { return impl_->held(); }
 
--- a/src/router/state.h
+++ b/src/router/state.h
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <set>
 #include <tuple>
@@ -11,6 +10,8 @@
 #include <vector>
 
 #include "cedarring/router.h"
+#include "fleet/cold_spending.h"
+#include "fleet/outlier.h"
 
 namespace cedarring::state {
 
@@ -54,10 +55,7 @@
   double load = 0;      // EWMA of latency over aim
   double window = 1;
   Time window_cut_at = never;
-  double fails = 0;  // EWMA of failures
-  Time ejected_until = never;
-  Duration backoff{};
-  Time judged = never;     // when an outcome last told of its health
+  fleet::Outlier outlier{{}};  // whose terms are set when it is first listed
   Time heard = never;      // last sign of life: an answer or a probe
   Time seen = never;       // last answered probe
   double queued = 0;       // requests waiting there, as last reported
@@ -78,13 +76,7 @@
     return out.empty() ? Duration::zero() : now - std::max(heard, *out.begin());
   }
   Time last_sent = never;
-  std::deque<std::pair<Time, double>> spent;  // work sent to it while cold, in the last window
-  double spent_since(Time from) {
-    while (!spent.empty() && spent.front().first <= from) spent.pop_front();
-    double sum = 0;
-    for (const auto& [at, work] : spent) sum += work;
-    return sum;
-  }
+  fleet::ColdSpending spent;
 };
 
 struct Attempt {
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -391,6 +391,7 @@
       if (errno != EINTR && errno != ECONNABORTED) return;
       continue;
     }
+    if (changed_) changed_();
     const bool full = !make_room();
     auto client = make_(std::move(fd), *this);
     auto* raw = client.get();
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -148,6 +148,10 @@
   /// A client that the other process has handed on.
   void adopt(Fd fd, const std::string& known);
   void set_most(std::size_t most) { most_ = most; }
+  /// Called when a client has come and when one has gone: may change the most.
+  void on_change(std::function<void()> call) { changed_ = std::move(call); }
+  /// Places that are taken.
+  [[nodiscard]] std::size_t taken() const { return clients_.size() - lingering_; }
   [[nodiscard]] std::size_t most() const { return most_; }
   [[nodiscard]] std::size_t size() const { return clients_.size(); }
   void gone(Client* client);
@@ -166,12 +170,12 @@
   bool make_room();
   bool evict();
   void retire_idle();
-  [[nodiscard]] std::size_t taken() const { return clients_.size() - lingering_; }
   [[nodiscard]] Duration idle_time(const Client& client) const;
   ev::loop_ref loop_;
   Reaper& reaper_;
   memory::Broker& broker_;
   std::size_t most_;
+  std::function<void()> changed_;
   Make make_;
   bool given_;  // the listener comes from another process
   Fd listener_;
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -8,7 +8,8 @@
 
 using memory::AttemptResult;
 
-constexpr double silent_most = 10;  // seconds that a host may pause within a value
+constexpr double silent_most = 10;     // seconds that a host may pause within a value
+constexpr std::size_t for_probes = 8;  // one in so many places is left to probes
 
 double seconds(Duration d) { return std::max(0.0, static_cast<double>(d.count()) / 1e6); }
 
@@ -151,6 +152,21 @@
   sweep_.start(1, 1);
 }
 
+/// The router keeps what finds no place, so an attempt meets a bound only when there is less room than it was
+/// told.
+void SocketUpstream::apply_most() {
+  most_ = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(options_.most) * factor_));
+  if (broker_) broker_->limit(most_ - most_ / for_probes);
+}
+
+void SocketUpstream::trim(std::size_t most) {
+  while (connections_.size() > most) {
+    auto* idle = pool_.oldest();
+    if (!idle) return;
+    drop(idle);
+  }
+}
+
 void SocketUpstream::start(memory::AttemptKey key, HostId host, const std::string& address,
                            const std::shared_ptr<const memory::Work>& work, Time stop_at) {
   run(host, address, {key, work, clock_(), stop_at});
@@ -170,6 +186,7 @@
   }
   if (!connection) {
     // At the bound the connection that was idle longest, anywhere, makes room.
+    if (connections_.size() >= most_ && full_) full_();
     if (connections_.size() >= most_)
       if (auto* idle = pool_.oldest()) drop(idle);
     AttemptResult failed;
@@ -201,7 +218,7 @@
 void SocketUpstream::done(HostConnection* connection, const Job& job, AttemptResult result, bool keep) {
   const auto host = connection->host();
   if (job.attempt) attempts_.erase({job.attempt->request.value, job.attempt->number});
-  if (keep && !winding_down_) pool_.put(host, connection, clock_());
+  if (keep && !winding_down_ && connections_.size() <= most_) pool_.put(host, connection, clock_());
   else gone(connection);
   tell(job, host, std::move(result));
 }
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -90,11 +90,9 @@
   using Make = std::function<std::unique_ptr<HostConnection>(Fd fd, HostId host, SocketUpstream& owner)>;
   SocketUpstream(ev::loop_ref loop, Reaper& reaper, Clock clock, Options options, Make make,
                  std::function<void()> watch);
-  void attach(memory::Broker& broker) { broker_ = &broker; }
+  void attach(memory::Broker& broker) { broker_ = &broker, apply_most(); }
   /// A factor on the most connections; those beyond it go as they fall idle or make room.
-  void scale_most(double factor) {
-    most_ = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(options_.most) * factor));
-  }
+  void scale_most(double factor) { factor_ = factor, apply_most(); }
 
   /// Another process follows this one: while that is so connections that fall idle are closed.
   void wind_down(bool on);
@@ -104,7 +102,12 @@
     options_.idle_close = idle_close;
   }
   [[nodiscard]] std::size_t most() const { return options_.most; }
-  void set_most(std::size_t most) { options_.most = most, scale_most(1); }
+  void set_most(std::size_t most) { options_.most = most, apply_most(); }
+  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+  /// Closes idle connections, the longest idle first, until there are `most` at most or none is idle.
+  void trim(std::size_t most);
+  /// Called when a connection is wanted and there is no place: may raise the most.
+  void on_full(std::function<void()> call) { full_ = std::move(call); }
 
   void start(memory::AttemptKey key, HostId host, const std::string& address,
              const std::shared_ptr<const memory::Work>& work, Time stop_at) override;
@@ -135,7 +138,10 @@
   Reaper& reaper_;
   Clock clock_;
   Options options_;
+  void apply_most();
   std::size_t most_;
+  double factor_ = 1;
+  std::function<void()> full_;
   bool winding_down_ = false;
   Make make_;
   std::function<void()> watch_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "cedarring/router.h"
+#include "fleet/outlier.h"
 #include "fleet/probe_budget.h"
+#include "memory/places.h"
 #include "tools/lab/world.h"
 
 namespace cedarring::test {
@@ -66,6 +68,74 @@
   EXPECT_TRUE(free.can(1));
 }
 
+TEST(Places, ClientsAndHostsNeverHaveMoreThanAllAndEachItsPart) {
+  for (const std::size_t all : {16U, 196U, 400U, 964U})
+    for (std::size_t clients = 0; clients <= all * 3 / 4; clients += 3)
+      for (std::size_t hosts = 0; hosts <= all / 2; hosts += 5) {
+        const auto s = memory::split_places(all, clients, hosts);
+        ASSERT_GE(s.hosts, all / 4);
+        ASSERT_LE(s.hosts, all / 2);
+        ASSERT_GE(s.clients, all / 2);
+        ASSERT_LE(s.clients + std::max(hosts, all / 4), all);
+        ASSERT_LE(std::min(clients, s.clients) + s.hosts, all);  // what clients hold is never given to hosts
+      }
+  EXPECT_EQ(memory::split_places(196, 10, 49).hosts, 98U);
+  EXPECT_EQ(memory::split_places(196, 147, 49).hosts, 49U);
+}
+
+/// With one place all groups have their turn, and nothing is refused for want of it.
+TEST(Places, OnePlaceGoesToTheGroupsInTurn) {
+  Settings s;
+  s.may_probe = false;
+  s.classes = {sapporo().classes[1].contract};  // history: any host will do
+  Router router(s);
+  router.limit(1);
+  std::vector<Action> out;
+  std::uint64_t next = 1;
+  Time now = 1s;
+  router.handle(now, Started{}, out);
+  MembersListed list;
+  for (std::uint32_t i = 1; i <= 4; ++i)
+    list.entries.push_back({HostId{i}, GroupId{i}, ZoneId{}, HostState::ready, true, 1, std::nullopt});
+  router.handle(now, list, out);
+  std::vector<Send> sent;
+  const auto collect = [&] {
+    for (const auto& a : out) {
+      if (const auto* x = std::get_if<Send>(&a)) sent.push_back(*x);
+      EXPECT_FALSE(std::holds_alternative<Refuse>(a) || std::holds_alternative<Fail>(a));
+    }
+    out.clear();
+  };
+  for (int i = 0; i < 3; ++i)
+    for (int g = 1; g <= 4; ++g)
+      router.handle(now, RequestArrived{RequestId{next++}, ClassId{0}, GroupId{g}, 1s, {}, {}}, out);
+  collect();
+  for (std::size_t i = 0; i < 12; ++i) {
+    ASSERT_EQ(sent.size(), i + 1);  // one at a time, and the next at once
+    now += 1ms;
+    router.handle(now, AttemptEnded{sent[i].request, 0, sent[i].host, Outcome::ok, 1ms, true, {}, {}}, out);
+    collect();
+  }
+  for (std::size_t i = 4; i < 12; ++i) EXPECT_EQ(sent[i].host, sent[i - 4].host);
+}
+
+TEST(Outlier, OneFailureAfterLongQuietCountsForAllThatWasNotSeen) {
+  fleet_budget::Outlier busy({0.2, 3, 0.5}), quiet({0.2, 3, 0.5});
+  Time now = 100s;
+  EXPECT_FALSE(busy.failed(now, now, 1));
+  EXPECT_FALSE(busy.failed(now, now, 1));
+  EXPECT_FALSE(busy.failed(now, now, 1));
+  EXPECT_TRUE(busy.failed(now, now, 1));
+  EXPECT_TRUE(quiet.failed(now, 0s, 1));
+  quiet.eject(now, 1s, 10s, 1);
+  EXPECT_TRUE(quiet.ejected());
+  EXPECT_FALSE(quiet.on_trial(now + 999ms));
+  EXPECT_TRUE(quiet.on_trial(now + 1s));
+  EXPECT_GT(quiet.ill(now + 1s), quiet.ill(now + 4s));  // the verdict fades
+  quiet.answered(now + 5s, 0s);
+  EXPECT_FALSE(quiet.ejected());
+}
+
 TEST(Fleet, ReadsStayOnReplicasThoughEachGatewayHearsLittleOfThem) {
   const auto r = run(fleet());
   const auto& desk_view = r.within[0];
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -698,7 +698,10 @@
     return served;
   };
   for (int i = 0; i < 40; ++i) clients.push_back(std::make_unique<PgClient>(program.pg()));
-  for (int i = 0; i < 10; ++i) EXPECT_GT(round("history"), 0) << i;
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(round("history"), 40) << i;
+  // More at once than there are connections: who finds no place waits for one.
+  while (clients.size() < 100) clients.push_back(std::make_unique<PgClient>(program.pg()));
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(round("history"), 100) << i;
   // A cut: all connections to hosts break under requests; afterwards everybody comes at once.
   for (auto& h : hosts) h->act = Act::reset;
   round("history");
