The course of each request in the log at level debug, and a report that sums it over gateways

Need: the largest losses at 300 gateways were not traced; the logs told nothing of a request. Change: Broker::on_course tells a request's attempts with host, start, length and outcome once nothing of it is out; the gateway logs it at the level debug alone; `cedarring report requests` sums the logs of many gateways.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -41,6 +41,12 @@
 enum class HostState { gone, draining, ready };
 enum class ListKind { delta, full, cached, failed };
 enum class Outcome { ok, error, full, timeout, connect_failed, reset, cancelled, moot, miss };
+/// moot: never sent, and no fault of the host's.
+constexpr const char* name_of(Outcome o) {
+  constexpr const char* names[] = {"ok",    "error",     "full", "timeout", "connect_failed",
+                                   "reset", "cancelled", "moot", "miss"};
+  return names[static_cast<int>(o)];
+}
 
 struct RequestClass {
   std::string name;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -111,6 +111,7 @@
       if (link_) link_->send("role", std::string(word_of(role)) + ' ' + host);
     });
   for (auto& s : services_) s->limit(whole_of(*s));
+  log_courses();
   if (before) follow(std::move(before->link));
   else make_admin(), wait_for_next();
   if (!c.control.empty())
@@ -146,6 +147,7 @@
   try {
     const auto c = load_config(true, file_, in_force_);
     log_.reload(c.file.log);  // the only step that can still fail
+    log_courses();
     in_force_ = c.text;
     services_[0]->retune(c.platform);
     if (c.mysql && services_.size() > 1) services_[1]->retune(*c.mysql);
@@ -172,6 +174,36 @@
   }
 }
 
+/// At the level `debug` each request that is over is a line: how it ended, and each attempt with its host.
+void Gateway::log_courses() {
+  const bool on = log_.config().least == telemetry::Level::debug;
+  for (auto& s : services_) {
+    if (!on) {
+      s->broker().on_course(nullptr);
+      continue;
+    }
+    s->broker().on_course([this](const memory::Course& c) {
+      const auto ms = [](Duration d) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.1f", static_cast<double>(d.count()) / 1000);
+        return std::string(text);
+      };
+      std::string course;
+      for (const auto& leg : c.legs)
+        course += (course.empty() ? "" : " ") + leg.host + '@' + ms(leg.sent) + '+' + ms(leg.took) + '=' +
+                  name_of(leg.outcome);
+      log_.write(telemetry::Level::debug, "request", "is over",
+                 {{"id", c.name},
+                  {"class", c.contract},
+                  {"group", std::to_string(c.group.value)},
+                  {"retry", c.retry ? "1" : "0"},
+                  {"end", gates::name_of(c.end)},
+                  {"ms", ms(c.elapsed)},
+                  {"course", course}});
+    });
+  }
+}
+
 std::string error_json(const std::string& text) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -29,6 +29,7 @@
   void reload(ev::sig&, int);
   void told(ev::sig&, int) { report(); }
   void report() const;
+  void log_courses();
   void check_empty(ev::prepare&, int);
   [[nodiscard]] bool empty() const;
   std::string answer(const std::vector<std::string>& words);
--- a/src/gates/gate.h
+++ b/src/gates/gate.h
@@ -75,6 +75,15 @@
 
 /// How a request that was asked for has ended; told once for each, whoever ended it.
 enum class End : std::uint8_t { served, refused, failed, left };
+constexpr const char* name_of(End e) {
+  switch (e) {
+    case End::served: return "served";
+    case End::refused: return "refused";
+    case End::failed: return "failed";
+    case End::left: return "left";
+  }
+  return "failed";
+}
 struct Ending {
   End end = End::failed;
   Decider by = Decider::nobody;  // of a refusal, and why where a gate has refused it
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -230,7 +230,8 @@
   event.attempt = key.number;
   event.host = a.host;
   event.outcome = result.outcome;
-  event.elapsed = clock_() - a.sent;
+  event.elapsed = a.took = clock_() - a.sent;
+  a.outcome = result.outcome;
   event.note = result.note;
   event.report = result.report;
   r.why = result.outcome;
@@ -363,7 +364,8 @@
   if (auto* front = std::exchange(it->second.front, nullptr)) front->finish(id, std::move(answer));
 }
 
-void Broker::count(const Request& r, gates::End end, gates::Decider by, gates::Reason why) {
+void Broker::count(Request& r, gates::End end, gates::Decider by, gates::Reason why) {
+  r.how = end;
   if (r.gates_asked > 0) {
     const Time now = clock_();
     for (std::size_t i = 0; i < r.gates_asked; ++i)
@@ -389,12 +391,27 @@
 
 void Broker::close(Request& r) {
   r.ended = true;
+  r.ended_at = clock_();
   names_.erase(r.name);
 }
 
 void Broker::settle(RequestId id) {
   const auto it = requests_.find(id.value);
-  if (it != requests_.end() && it->second.ended && it->second.out == 0) requests_.erase(it);
+  if (it == requests_.end() || !it->second.ended || it->second.out > 0) return;
+  if (course_) tell_course(it->second);
+  requests_.erase(it);
+}
+
+void Broker::tell_course(const Request& r) const {
+  Course c;
+  c.name = r.name;
+  c.contract = contracts_[static_cast<std::size_t>(r.ask.cls.value)].cls.name;
+  c.group = r.ask.group;
+  c.retry = r.ask.retry;
+  c.elapsed = r.ended_at - r.taken;
+  c.end = r.how;
+  for (const auto& a : r.attempts) c.legs.push_back({hosts_.name(a.host), a.sent - r.taken, a.took, a.outcome});
+  course_(c);
 }
 
 }  // namespace cedarring::memory
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -106,6 +106,21 @@
 /// late: its time ran out before its turn came, nothing has run.
 enum class Rejection { none, unknown_contract, unknown_tenant, unknown_group, name_in_use, overfull, late };
 
+/// A request that is over, for those who look for what became of it.
+struct Course {
+  struct Leg {
+    std::string host;
+    Duration sent{}, took{};  // since the request was taken; until it ended
+    Outcome outcome = Outcome::ok;
+  };
+  std::string name, contract;
+  GroupId group;
+  bool retry = false;
+  Duration elapsed{};  // until its final answer, or until its client left
+  gates::End end = gates::End::failed;
+  std::vector<Leg> legs;
+};
+
 class Broker {
   static constexpr Time forever{INT64_MAX / 2};
 
@@ -138,6 +153,8 @@
   void learn(const std::string& host, Role role, std::optional<Time> position);
   /// Called when a host tells another role than was known.
   void on_role(std::function<void(const std::string& host, Role role)> call) { role_told_ = std::move(call); }
+  /// Called for each request once nothing of it is out; an empty one: not at all.
+  void on_course(std::function<void(const Course&)> call) { course_ = std::move(call); }
   void timer_fired();
   /// What the router believes of each group, by id.
   void view(std::vector<GroupView>& out) { router_.view(clock_(), out); }
@@ -165,6 +182,8 @@
     HostId host;
     Time sent{};
     bool out = true;
+    Duration took{};
+    Outcome outcome = Outcome::ok;
   };
   struct Request {
     Front* front = nullptr;
@@ -180,6 +199,8 @@
     int out = 0;
     bool ran = false;  // an attempt was written, or may have been
     bool ended = false;
+    Time ended_at{};
+    gates::End how = gates::End::failed;
     bool streaming = false;  // the last attempt's answer is being passed on
   };
 
@@ -191,9 +212,10 @@
   void end(RequestId id, FinalAnswer answer, gates::Decider by);
   void settle(RequestId id);
   void close(Request& r);
-  void count(const Request& r, gates::End end, gates::Decider by = gates::Decider::nobody,
+  void count(Request& r, gates::End end, gates::Decider by = gates::Decider::nobody,
              gates::Reason why = gates::Reason::none);
   gates::Verdict pass_gates(Request& r, Time now);
+  void tell_course(const Request& r) const;
   void hear(HostId host, Role role, std::optional<Time> position);
 
   /// A class of the settings, and what has become of its requests.
@@ -217,6 +239,7 @@
   std::unordered_set<std::string> names_;  // of the open requests
   std::uint64_t next_request_ = 1;
   std::function<void(const std::string&, Role)> role_told_;
+  std::function<void(const Course&)> course_;
   std::deque<std::pair<Time, Event>> events_;
   bool feeding_ = false;  // guards against feeding the router while it is being fed
 };
--- a/src/tools/report/main.cpp
+++ b/src/tools/report/main.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "tools/report/contracts.h"
+#include "tools/report/requests.h"
 
 int main(int argc, char** argv) {
   using namespace cedarring::report;
@@ -14,8 +15,21 @@
   contracts->add_option("RECORDS", files, "Files of records, of one gateway or several")->required()->check(CLI::ExistingFile);
   contracts->add_flag("--json", json, "As JSON");
   contracts->add_flag("--csv", csv, "As comma-separated values")->excludes("--json");
+  std::size_t rows = 20;
+  auto* requests = app.add_subcommand("requests", "What became of requests, from logs at the level debug");
+  requests->add_option("LOGS", files, "Logs of one gateway or several")->required()->check(CLI::ExistingFile);
+  requests->add_option("--rows", rows, "Rows of each list, at most");
   app.require_subcommand(1);
   CLI11_PARSE(app, argc, argv);
+  if (requests->parsed()) {
+    Requests all;
+    for (const auto& file : files) {
+      std::ifstream in(file);
+      merge(in, all);
+    }
+    std::cout << print(all, rows);
+    return 0;
+  }
   Merged merged;
   for (const auto& file : files) {
     std::ifstream in(file);
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -330,5 +330,28 @@
   EXPECT_EQ(pool.hosts(), 0U);
 }
 
+TEST(Broker, TellsTheCourseOfEachRequestOnceItIsOver) {
+  Bench b;
+  std::vector<Course> all;
+  b.broker.on_course([&](const Course& c) { all.push_back(c); });
+  b.ask("history");
+  ASSERT_EQ(b.upstream.started.size(), 1U);
+  b.now += 5ms;
+  b.upstream.end(b.upstream.started[0].key, Outcome::connect_failed);
+  ASSERT_EQ(b.upstream.started.size(), 2U);
+  EXPECT_TRUE(all.empty());
+  b.now += 20ms;
+  b.upstream.end(b.upstream.started[1].key, Outcome::ok);
+  ASSERT_EQ(all.size(), 1U);
+  EXPECT_EQ(all[0].contract, "history");
+  EXPECT_EQ(all[0].end, gates::End::served);
+  EXPECT_EQ(all[0].elapsed, 25ms);
+  ASSERT_EQ(all[0].legs.size(), 2U);
+  EXPECT_EQ(all[0].legs[0].outcome, Outcome::connect_failed);
+  EXPECT_EQ(all[0].legs[0].host, b.upstream.started[0].address);  // hosts bear the names of their addresses here
+  EXPECT_EQ(all[0].legs[1].sent, 5ms);
+  EXPECT_EQ(all[0].legs[1].took, 20ms);
+}
+
 }  // namespace
 }  // namespace cedarring::test
--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "telemetry/log.h"
+#include "tools/report/requests.h"
 
 namespace cedarring::test {
 namespace {
@@ -100,5 +101,28 @@
   ::rmdir(dir);
 }
 
+TEST(Report, SumsWhatBecameOfRequestsOverLogs) {
+  std::istringstream log(
+      R"(0.5 {"at_ms":1000,"cause":"request","id":"a","class":"bid","group":"1","end":"served","ms":"20.0","course":"h1@0.0+20.0=ok"}
+{"at_ms":1200,"cause":"request","id":"b","class":"bid","group":"2","end":"served","ms":"40.0","course":"h1@0.0+5.0=reset h2@5.0+35.0=ok"}
+{"at_ms":2000,"cause":"request","id":"c","class":"view","group":"2","end":"refused","ms":"1.0","course":""}
+{"at_ms":2100,"cause":"list","message":"of another kind"}
+not JSON {"at_ms"
+)");
+  report::Requests r;
+  report::merge(log, r);
+  EXPECT_EQ(r.lines, 5U);
+  EXPECT_EQ(r.others, 2U);
+  EXPECT_EQ(r.all.requests, 3U);
+  EXPECT_EQ(r.all.unsent, 1U);
+  EXPECT_EQ(r.all.ms, 60);
+  EXPECT_EQ(r.by_second.size(), 2U);
+  EXPECT_EQ(r.by_class["bid"].by_end["served"], 2U);
+  EXPECT_EQ(r.by_host["h1"]["reset"], 1U);
+  EXPECT_EQ(r.patterns["bid served: reset ok"], 1U);
+  EXPECT_EQ(r.patterns["view refused: never sent"], 1U);
+  EXPECT_NE(report::print(r, 5).find("h1  1 of 2: ok 1 reset 1"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace cedarring::test
