A connection that does not come up in its usual time is given up for another host

Cause: HostConnection::arm gave each connection all of connect_timeout; each gateway finds each silent host out by itself. Ruled out: refused connections, descriptors, the router's choice (a silent host is tried once, then ejected). Change: fleet::ConnectPatience (RFC 6298's estimator, an eighth of connect_timeout at least); Send::only_there keeps the full time for what only a primary can take and for a second attempt; AttemptEnded::silent tells silence from a refusal, which ejects and counts as a restart.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -140,6 +140,7 @@
   bool request_ended = false;
   Note note;
   Report report;
+  bool silent = false;  // of connect_failed: it did not come up in its time, rather than being refused
 };
 struct AnswerStarted {
   RequestId request;
@@ -167,6 +168,7 @@
   RequestId request;
   HostId host;
   Time stop_at{};
+  bool only_there = false;  // no other host can take it, or one has been left already: a slow connection is waited for
 };
 struct Cancel {
   RequestId request;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -51,7 +51,7 @@
   auto split = memory::split_places(all, clients_.taken(), upstream_.connections());
   upstream_.set_most(split.hosts);
   upstream_.trim(split.hosts);
-  clients_.set_most(memory::split_places(all, clients_.taken(), upstream_.connections()).clients);
+  clients_.set_most(memory::split_places(all, clients_.taken(), upstream_.connections()).clients, whole_.clients);
 }
 
 void Service::start_levels(const levels::Config& config) {
--- a/src/memory/broker.cpp
+++ b/src/memory/broker.cpp
@@ -234,6 +234,7 @@
   a.outcome = result.outcome;
   event.note = result.note;
   event.report = result.report;
+  event.silent = result.silent;
   r.why = result.outcome;
   r.ran |= result.outcome != Outcome::connect_failed && result.outcome != Outcome::moot &&
            result.outcome != Outcome::full && result.outcome != Outcome::miss;
@@ -348,9 +349,9 @@
   const bool barred =
       number > 0 && std::any_of(gates_.begin(), gates_.begin() + static_cast<std::ptrdiff_t>(r.gates_asked),
                                 [&](auto* gate) { return !gate->may_repeat(r.ask, now); });
-  if (r.ended || barred || clock_() >= stop_at) return attempt_ended(key, {Outcome::moot, {}, {}, {}, {}});
+  if (r.ended || barred || clock_() >= stop_at) return attempt_ended(key, {Outcome::moot, {}, {}, {}, {}, {}});
   const auto work = r.work;
-  upstream_.start(key, send.host, hosts_.address(send.host), work, stop_at);
+  upstream_.start(key, send.host, hosts_.address(send.host), work, stop_at, send.only_there);
 }
 
 void Broker::end(RequestId id, FinalAnswer answer, gates::Decider by) {
--- a/src/memory/broker.h
+++ b/src/memory/broker.h
@@ -72,14 +72,16 @@
   Report report;
   std::string value;
   std::string message;
+  bool silent = false;  // of connect_failed: nothing came in its time
 };
 
 /// Carries attempts, probes and the watch out. Results may come before the call returns.
 class Upstream {
  public:
   virtual ~Upstream() = default;
+  /// `only_there`: no other host can take it, so that a connection is waited for as long as may be.
   virtual void start(AttemptKey key, HostId host, const std::string& address,
-                     const std::shared_ptr<const Work>& work, Time stop_at) = 0;
+                     const std::shared_ptr<const Work>& work, Time stop_at, bool only_there) = 0;
   virtual void abandon(AttemptKey key) = 0;
   virtual void probe(HostId host, const std::string& address) = 0;
   virtual void watch() = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -722,7 +722,7 @@
     h.out.insert(now_);
     if (warmth(h) < 1) h.spent.add(now_, work(r.cls.value));
     h.last_sent = now_;
-    out_->push_back(Send{r.id, h.id, Time::zero()});
+    out_->push_back(Send{r.id, h.id, Time::zero(), only_primary(r.cls.value) || r.attempts.size() > 1});
   }
 
   void on(const AttemptEnded& e) {
@@ -782,8 +782,9 @@
         break;
       case Outcome::connect_failed:
         // Refused at once: no process. Not set up in time: a slow or crowded one (handshake), one failure.
-        if (e.elapsed < s_.connect_timeout / 2) ++h.refusals;
-        failed(h, e.elapsed < s_.connect_timeout / 2 ? refused_weight : 1);
+        if (const bool refused = !e.silent && e.elapsed < s_.connect_timeout / 2; refused)
+          ++h.refusals, failed(h, refused_weight);
+        else failed(h, 1);
         break;
       case Outcome::reset: failed(h, 1); break;
       case Outcome::timeout:
--- a/src/tools/lab/world.cpp
+++ b/src/tools/lab/world.cpp
@@ -27,7 +27,7 @@
  public:
   SimUpstream(World& world, std::size_t gateway) : world_(world), gateway_(gateway) {}
   void start(memory::AttemptKey key, HostId host, const std::string& address,
-             const std::shared_ptr<const memory::Work>& work, Time stop_at) override;
+             const std::shared_ptr<const memory::Work>& work, Time stop_at, bool only_there) override;
   void abandon(memory::AttemptKey key) override;
   void probe(HostId host, const std::string& address) override;
   void watch() override;
@@ -365,7 +365,7 @@
 void Gateway::finish(RequestId request, memory::FinalAnswer answer) { world.finish(number, request, std::move(answer)); }
 
 void SimUpstream::start(memory::AttemptKey key, HostId, const std::string& address,
-                        const std::shared_ptr<const memory::Work>& work, Time stop_at) {
+                        const std::shared_ptr<const memory::Work>& work, Time stop_at, bool /*only_there*/) {
   auto& t = world_.timeline;
   ++world_.result.attempts;
   if (key.number >= 6) ++world_.result.too_many;
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -240,6 +240,7 @@
       reaper_(reaper),
       broker_(broker),
       most_(most),
+      idle_of_(most),
       make_(std::move(make)),
       given_(listener.get() >= 0),
       listener_(given_ ? std::move(listener) : listen_on(address, true)),
@@ -345,14 +346,14 @@
 /// Closes idle clients, the longest idle first, for as long as their places are wanted: each one closed gives
 /// the others more time.
 void ClientSet::retire_idle() {
-  if (!places_.gives_way(Duration::max(), taken(), most_)) return;
+  if (!places_.gives_way(Duration::max(), taken(), idle_of_)) return;
   std::vector<Client*> idle;
   for (const auto& [key, c] : clients_)
     if (c->idle()) idle.push_back(key);
   std::sort(idle.begin(), idle.end(),
             [](const Client* a, const Client* b) { return a->since() < b->since(); });
   for (auto* client : idle) {
-    if (!places_.gives_way(idle_time(*client), taken(), most_)) return;
+    if (!places_.gives_way(idle_time(*client), taken(), idle_of_)) return;
     client->leave();
   }
 }
@@ -372,7 +373,7 @@
     return a->has_spoken() != b->has_spoken() ? !a->has_spoken() : a->since() < b->since();
   };
   for (const auto& [key, c] : clients_)
-    if (c->evictable(loop_.now()) && (!c->idle() || places_.gives_way(idle_time(*c), taken(), most_)) &&
+    if (c->evictable(loop_.now()) && (!c->idle() || places_.gives_way(idle_time(*c), taken(), idle_of_)) &&
         (!first || before(key, first)))
       first = key;
   if (first) first->leave();
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -147,7 +147,8 @@
   void take_back();
   /// A client that the other process has handed on.
   void adopt(Fd fd, const std::string& known);
-  void set_most(std::size_t most) { most_ = most; }
+  /// `idle_of`: the places that idle clients' time is reckoned by, if more than `most`.
+  void set_most(std::size_t most, std::size_t idle_of = 0) { most_ = most, idle_of_ = std::max(most, idle_of); }
   /// Called when a client has come and when one has gone: may change the most.
   void on_change(std::function<void()> call) { changed_ = std::move(call); }
   /// Places that are taken.
@@ -174,7 +175,7 @@
   ev::loop_ref loop_;
   Reaper& reaper_;
   memory::Broker& broker_;
-  std::size_t most_;
+  std::size_t most_, idle_of_;
   std::function<void()> changed_;
   Make make_;
   bool given_;  // the listener comes from another process
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -42,12 +42,14 @@
 void HostConnection::arm() {
   if (!job_) return;
   auto due = job_->stop_at;
-  if (!welcomed_) due = std::min(due, job_->started + owner_.options().connect_timeout);
+  const auto most = owner_.options().connect_timeout;
+  if (!welcomed_) due = std::min(due, job_->started + (job_->patient ? most : owner_.patience().allowed(most)));
   timer_.start(seconds(due - owner_.now()));
 }
 
 void HostConnection::welcome() {
   welcomed_ = true;
+  if (job_) owner_.patience().took(owner_.now() - job_->started);
   reset();
   if (!job_) return;
   submit();
@@ -86,6 +88,8 @@
   if (!job_) return;
   AttemptResult result;
   result.outcome = lost(submitted_ && out_.empty(), true);
+  result.silent = true;
+  if (!welcomed_) owner_.patience().gave_up();
   finish(std::move(result), false);
 }
 
@@ -168,8 +172,8 @@
 }
 
 void SocketUpstream::start(memory::AttemptKey key, HostId host, const std::string& address,
-                           const std::shared_ptr<const memory::Work>& work, Time stop_at) {
-  run(host, address, {key, work, clock_(), stop_at});
+                           const std::shared_ptr<const memory::Work>& work, Time stop_at, bool only_there) {
+  run(host, address, {key, work, clock_(), stop_at, only_there});
 }
 
 void SocketUpstream::probe(HostId host, const std::string& address) {
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "fleet/connect_patience.h"
 #include "memory/broker.h"
 #include "memory/pool.h"
 #include "wire/connection.h"
@@ -22,6 +23,7 @@
   std::optional<memory::AttemptKey> attempt;  // absent: a probe
   std::shared_ptr<const memory::Work> work;
   Time started{}, stop_at{};
+  bool patient = true;  // a connection is waited for as long as may be
 };
 
 /// One connection to a host. It carries a job from the connect to the whole answer and never resends.
@@ -110,7 +112,7 @@
   void on_full(std::function<void()> call) { full_ = std::move(call); }
 
   void start(memory::AttemptKey key, HostId host, const std::string& address,
-             const std::shared_ptr<const memory::Work>& work, Time stop_at) override;
+             const std::shared_ptr<const memory::Work>& work, Time stop_at, bool only_there) override;
   void abandon(memory::AttemptKey key) override;
   void more(memory::AttemptKey key) override;
   void probe(HostId host, const std::string& address) override;
@@ -121,6 +123,7 @@
   // for the connections
   [[nodiscard]] Time now() const { return clock_(); }
   [[nodiscard]] const Options& options() const { return options_; }
+  fleet::ConnectPatience& patience() { return patience_; }
   void done(HostConnection* connection, const Job& job, memory::AttemptResult result, bool keep);
   void gone(HostConnection* connection);
   void written(const Job& job);
@@ -138,6 +141,7 @@
   Reaper& reaper_;
   Clock clock_;
   Options options_;
+  fleet::ConnectPatience patience_;
   void apply_most();
   std::size_t most_;
   double factor_ = 1;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cedarring/router.h"
+#include "fleet/connect_patience.h"
 #include "fleet/outlier.h"
 #include "fleet/probe_budget.h"
 #include "memory/places.h"
@@ -119,6 +120,22 @@
   for (std::size_t i = 4; i < 12; ++i) EXPECT_EQ(sent[i].host, sent[i - 4].host);
 }
 
+TEST(ConnectPatience, FollowsWhatConnectionsTakeWithinItsBounds) {
+  fleet_budget::ConnectPatience p;
+  EXPECT_EQ(p.allowed(250ms), 250ms);  // nothing seen
+  for (int i = 0; i < 50; ++i) p.took(2ms);
+  EXPECT_EQ(p.allowed(250ms), Duration(250ms) / 8);
+  p.gave_up(), p.gave_up(), p.gave_up();
+  EXPECT_GE(p.allowed(250ms), Duration(250ms) / 8);
+  for (int i = 0; i < 40; ++i) p.gave_up();
+  EXPECT_EQ(p.allowed(250ms), 250ms);  // none comes up any more: they may all be slow
+  p.took(2ms);
+  EXPECT_EQ(p.allowed(250ms), Duration(250ms) / 8);
+  for (int i = 0; i < 50; ++i) p.took(i % 2 == 0 ? 20ms : 60ms);  // slow ones and their spread
+  EXPECT_GT(p.allowed(250ms), 80ms);
+  EXPECT_LT(p.allowed(250ms), 200ms);
+}
+
 TEST(Outlier, OneFailureAfterLongQuietCountsForAllThatWasNotSeen) {
   fleet_budget::Outlier busy({0.2, 3, 0.5}), quiet({0.2, 3, 0.5});
   Time now = 100s;
