Headers include what they use; on_change says when it is called

Found on reading the change again: connect_patience.h used std::abs, cold_spending.h std::prev and the stand-in std::any_of by way of other headers; ClientSet::on_change promised a call when a client has gone, which nothing made. Gateway and adapter built; comments and includes only.

--- a/src/fleet/cold_spending.h
+++ b/src/fleet/cold_spending.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <iterator>
 #include <utility>
 
 #include "cedarring/router.h"
--- a/src/fleet/connect_patience.h
+++ b/src/fleet/connect_patience.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 
 #include "cedarring/router.h"
 
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -149,7 +149,7 @@
   void adopt(Fd fd, const std::string& known);
   /// `idle_of`: the places that idle clients' time is reckoned by, if more than `most`.
   void set_most(std::size_t most, std::size_t idle_of = 0) { most_ = most, idle_of_ = std::max(most, idle_of); }
-  /// Called when a client has come and when one has gone: may change the most.
+  /// Called when a client has come, before it takes its place: may change the most.
   void on_change(std::function<void()> call) { changed_ = std::move(call); }
   /// Places that are taken.
   [[nodiscard]] std::size_t taken() const { return clients_.size() - lingering_; }
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <stdexcept>
