Pushed lists: a watch is kept open and heard before the first request; silence seen at 3 s

Cause: Router::on(Started) asks only in ask mode, right for the simulator where pushed lists come by themselves, and on sockets nobody else opened the watch (app/service.cpp). So lists were never heard at all where settings say `automatic`.

Change: the watch is kept by DiscoveryWatch itself there, opened anew at once when it ends (fleet::WatchTerms, waits scaled by stop_sending_within, which the settings now carry), and clients are taken once a list has come: what the agent has counts from a process's first moment. At most 3 s are waited, for the agent may be down. Beside it, each read in the code and shown by a forced test: silence was seen at 4.5 s and a reopened watch that said nothing got as long again, past the 6 s after which what it misses counts as told: now 3 s, at once, 2.5 s. Bytes that make no list kept a watch alive. A list indented over lines was taken for broken. An entry that drains with an unusable address was dropped whole. A delta older than what is held undid a drain.

A race in the stand-in (a test's list could overtake its first) is closed.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -83,6 +83,7 @@
   std::uint32_t max_attempts = 8;
   Duration max_retry_after{1'000'000};
   Duration ask_within{10'000'000};
+  Duration drain_grace{1'000'000};  // nothing new to a host this long after it was told draining or gone
   Duration cold_for{};   // a started host is warm after this
   double cold_from = 1;  // and begins with this share of its capacity
   double tip_multiple = 3;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -22,6 +22,7 @@
 constexpr double handover_wait = 1;  // seconds for all of what the process before has to say
 constexpr double leave_after = 10;   // seconds that one which is followed stays without being told to end
 constexpr double serving_every = 0.01;
+constexpr double first_list_within = 3;        // seconds, from the start, that a pushed list is waited for
 constexpr double yes_within = 0.5;             // seconds that the old one has to tell what is left to spend
 constexpr double step_every = 0.05;            // between two looks at what the other process has to be told
 constexpr double serve_after_term = 0.5;       // seconds: the front goes on sending for 0.2 to 0.4 s
@@ -55,6 +56,7 @@
       log_(c.name, c.file.log, [this] { return clock_.now(); }),
       reaper_(loop),
       memory_((c.memory_mb << 20U) / 2),
+      since_(loop.now()),
       serving_(loop),
       leave_(loop),
       yes_(loop),
@@ -128,7 +130,7 @@
   for (auto& s : services_) s->limit(whole_of(*s));
   log_courses();
   if (before) follow(std::move(before->link));
-  else make_admin(), wait_for_next();
+  else make_admin(), wait_for_next(), serving_.start(0, serving_every);
   if (!c.control.empty())
     door_ = std::make_unique<wire::ControlDoor>(
         loop, reaper_, c.control, [this](const wire::DoorCall& call) { return this->call(call); });
@@ -328,7 +330,7 @@
 }
 
 bool Gateway::ready() const {
-  return !drain_.is_active() && !check_.is_active() && !handing_ &&
+  return !drain_.is_active() && !check_.is_active() && !handing_ && !serving_.is_active() &&
          std::all_of(
              services_.begin(), services_.end(), [](const auto& s) { return s->ready(); });
 }
@@ -390,10 +392,12 @@
   serving_.start(0, serving_every);
 }
 
-/// From here on this process has the clients: it can serve, and says so.
+/// From here on this process has the clients: it can serve, and says so. A list is not waited for without
+/// end: its agent may be down.
 void Gateway::try_serving(ev::timer&, int) {
   for (auto& s : services_)
-    if (!s->broker().ready()) return;
+    if ((follows_ && !s->broker().ready()) || (!s->informed() && loop_.now() - since_ < first_list_within))
+      return;
   serving_.stop();
   if (!link_ || !waits_for_yes_) return serve();
   link_->send("ready");
@@ -411,7 +415,7 @@
   yes_.stop();
   for (auto& s : services_) s->begin();
   if (link_) link_->send("serving"), step_.start(step_every, step_every);
-  wait_for_next();
+  if (!handover_) wait_for_next();
 }
 
 /// The new one begins: what may be spent is from here on in two parts.
@@ -542,6 +546,7 @@
   } else if (p.kind == "serving" && !follows_ && !handing_) {
     split();  // one of a build that does not ask for it
     handing_ = true;
+    serving_.stop();
     handover_.reset();  // the name in the folder is the new one's now
     admin_.reset();
     for (auto& s : services_)
@@ -604,6 +609,7 @@
 
 void Gateway::drain(ev::timer&, int) {
   if (check_.is_active()) return;
+  serving_.stop();
   for (auto& s : services_) s->drain();
   check_.start();
   if (empty()) loop_.break_loop(ev::ALL);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -72,6 +72,7 @@
   std::uint64_t applied_ = 0, rejected_ = 0;  // files at SIGHUP
   std::string handover_dir_, handover_name_, admin_path_;
   std::size_t memory_;
+  ev::tstamp since_;  // its start
   std::unique_ptr<wire::HandoverDoor> handover_;
   std::unique_ptr<wire::Link> link_;      // to the other process, while there are two
   bool follows_ = false;                  // this is the new one, and the old one has not ended
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -23,6 +23,7 @@
       for_levels_(c.for_levels()),
       for_contracts_(c.for_contracts()),
       known_(before ? before->list : c.known),
+      pushed_(c.settings.discovery == DiscoveryMode::push),
       upstream_(loop, reaper, clock, {c.settings.connect_timeout, c.settings.idle_close, descriptors / 4},
                 parts.host, [this] { watch(); }),
       broker_(c.settings, c.budgets, c.zones, clock, upstream_),
@@ -32,7 +33,7 @@
   upstream_.on_full([this] { share_places(); });
   if (!c.discovery.empty())
     discovery_.emplace(
-        loop, reaper, c.discovery, known_.version,
+        loop, reaper, c.discovery, known_.version, fleet::WatchTerms(c.settings.drain_grace),
         wire::DiscoveryWatch::Events{[this](const memory::MemberList& list) { broker_.listed(list); },
                                      [this] { broker_.list_failed(); }});
   if (!c.zone_updates.empty())
@@ -42,6 +43,8 @@
   if (c.contracts) contracts_.emplace(loop_, front_, *c.contracts, for_contracts_, broker_, clock_, log_);
   if (c.levels) start_levels(*c.levels);
   broker_.start(known_);
+  // Nobody asks for what is pushed, yet it comes on a watch.
+  if (discovery_ && pushed_) discovery_->keep();
   if (!before) return;
   for (const auto& id : before->out) broker_.set_out(id, true, true);
   for (const auto& h : before->heard) broker_.learn(h.host, h.role, h.position);
@@ -75,12 +78,17 @@
     if (auto r = handover::from_text<decltype(record)>(it->second)) use(std::move(*r));
     else spoilt.emplace_back(name);
   };
-  read("sessions", handover::SessionsPart{}, [&](auto p) { broker_.learn(std::move(p.k)); });
-  read("hosts", handover::HostsPart{}, [&](auto p) { broker_.learn(std::move(p.k)); });
-  read("tenants", memory::CarriedBudgets{}, [&](auto p) { broker_.take_budgets(p); });
-  read("contracts", contracts::Carried{}, [&](auto p) {
-    if (contracts_) contracts_->contracts().take(p, clock_());
-  });
+  read(
+      "sessions", handover::SessionsPart{}, [&](auto p) { broker_.learn(std::move(p.k)); });
+  read(
+      "hosts", handover::HostsPart{}, [&](auto p) { broker_.learn(std::move(p.k)); });
+  read(
+      "tenants", memory::CarriedBudgets{}, [&](auto p) { broker_.take_budgets(p); });
+  read(
+      "contracts", contracts::Carried{},
+      [&](auto p) {
+        if (contracts_) contracts_->contracts().take(p, clock_());
+      });
   read("levels", levels::Carried{}, [&](auto p) {
     if (levels_) levels_->take(p);
   });
@@ -129,7 +137,8 @@
   auto split = memory::split_places(all, clients_.taken(), upstream_.connections());
   upstream_.set_most(split.hosts);
   upstream_.trim(split.hosts);
-  clients_.set_most(memory::split_places(all, clients_.taken(), upstream_.connections()).clients, whole_.clients);
+  clients_.set_most(memory::split_places(all, clients_.taken(), upstream_.connections()).clients,
+                    whole_.clients);
 }
 
 void Service::start_levels(const levels::Config& config) {
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -26,7 +26,10 @@
           const Parts& parts, std::size_t descriptors, std::string front, telemetry::Log& log,
           wire::Fd listener = wire::Fd(), const ServiceState* before = nullptr,
           wire::Fd updates = wire::Fd());
-  /// Takes clients from a listener that another process has given.
+  /// Whether what it would choose from is known: where lists are pushed, what they say counts from the first
+  /// moment, so one has to have come.
+  [[nodiscard]] bool informed() const { return !pushed_ || !discovery_ || discovery_->told(); }
+  /// Takes clients from here on.
   void begin() { clients_.begin(); }
   /// Another process follows: `give` hands it a client.
   void hand_over(std::function<bool(int fd, const std::string& known)> give) {
@@ -100,6 +103,7 @@
   levels::Service for_levels_;
   contracts::Service for_contracts_;
   memory::MemberList known_;
+  bool pushed_;  // lists are
   wire::SocketUpstream upstream_;
   memory::Broker broker_;
   // Without either of these the known list is all there is.
--- a/src/memory/host_table.cpp
+++ b/src/memory/host_table.cpp
@@ -43,7 +43,15 @@
   std::set<HostId> named;
   closed_.clear();
   version_ = list.version;
-  for (const auto& m : list.members) {
+  for (const auto& told : list.members) {
+    auto m = told;
+    // One that only tells that nothing more is to go there: all else stays as it was.
+    if (m.state != HostState::ready && m.address.empty()) {
+      const auto known = ids_.find(m.id);
+      if (known == ids_.end()) continue;
+      m = rows_.at(known->second).said;
+      m.state = told.state;
+    }
     auto [it, fresh] = ids_.try_emplace(m.id, HostId{next_});
     if (fresh) ++next_;
     const HostId id = it->second;
--- a/src/router/settings_parser.cpp
+++ b/src/router/settings_parser.cpp
@@ -167,6 +167,7 @@
   s.max_attempts = facts.count("limits.send_cap", 1);
   s.max_retry_after = facts.ms("limits.max_retry_after", 0);
   s.ask_within = facts.ms("guarantees.ask_within", 10000);
+  s.drain_grace = facts.ms("guarantees.stop_sending_within", 1000);
   s.cold_for = facts.ms("guarantees.cold", 0);
   s.cold_from = facts.number("guarantees.cold_from", 1);
   s.tip_multiple = facts.number("guarantees.tip_multiple", 3);
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -242,8 +242,7 @@
       most_(most),
       idle_of_(most),
       make_(std::move(make)),
-      given_(listener.get() >= 0),
-      listener_(given_ ? std::move(listener) : listen_on(address, true)),
+      listener_(listener.get() >= 0 ? std::move(listener) : listen_on(address, true)),
       io_(loop),
       rest_(loop),
       sweep_(loop),
@@ -255,7 +254,6 @@
   wake_.set<ClientSet, &ClientSet::room_freed>(this);
   if (listener_.get() < 0) throw std::system_error(errno, std::generic_category(), "listen: " + address);
   io_.set<ClientSet, &ClientSet::incoming>(this);
-  if (!given_) begin();
   rest_.set<ClientSet, &ClientSet::rested>(this);
   sweep_.set<ClientSet, &ClientSet::sweep>(this);
   sweep_.start(sweep_every, sweep_every);
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -124,7 +124,8 @@
 class ClientSet {
  public:
   using Make = std::function<std::unique_ptr<Client>(Fd fd, ClientSet& owner)>;
-  /// Listens at `address`, or on `listener` if that is one.
+  /// Listens at `address`, or on `listener` if that is one. Clients are taken from begin() on; those that
+  /// come before wait in the listener's queue.
   ClientSet(ev::loop_ref loop, Reaper& reaper, memory::Broker& broker, const std::string& address,
             std::size_t most, Make make, Fd listener = Fd());
   ~ClientSet();
@@ -138,8 +139,9 @@
   }
   [[nodiscard]] std::string address() const { return bound_address(listener_); }
   [[nodiscard]] const Fd& listener() const { return listener_; }
-  /// Takes clients from a listener that was given; from one of its own it does so at once.
-  void begin() { io_.start(listener_.get(), ev::READ); }
+  void begin() {
+    if (listening()) io_.start(listener_.get(), ev::READ);
+  }
   /// Stops taking clients, whose listener stays, and hands on each one there is as it falls idle: `give` says
   /// whether the other process has got the descriptor. Those that cannot move are closed once idle.
   void hand_over(std::function<bool(int fd, const std::string& known)> give);
@@ -148,7 +150,9 @@
   /// A client that the other process has handed on.
   void adopt(Fd fd, const std::string& known);
   /// `idle_of`: the places that idle clients' time is reckoned by, if more than `most`.
-  void set_most(std::size_t most, std::size_t idle_of = 0) { most_ = most, idle_of_ = std::max(most, idle_of); }
+  void set_most(std::size_t most, std::size_t idle_of = 0) {
+    most_ = most, idle_of_ = std::max(most, idle_of);
+  }
   /// Called when a client has come, before it takes its place: may change the most.
   void on_change(std::function<void()> call) { changed_ = std::move(call); }
   /// Places that are taken.
@@ -178,7 +182,6 @@
   std::size_t most_, idle_of_;
   std::function<void()> changed_;
   Make make_;
-  bool given_;  // the listener comes from another process
   Fd listener_;
   ev::io io_;
   ev::timer rest_, sweep_;
--- a/src/wire/discovery.cpp
+++ b/src/wire/discovery.cpp
@@ -4,13 +4,15 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace cedarring::wire {
 namespace {
 
 constexpr std::size_t line_most = std::size_t{1} << 20U;
-constexpr double silence_most = 4.5;  // seconds: more than two heartbeats of 2 s
+
+double seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
 
 std::string text_of(const rapidjson::Value& v, const char* name) {
   const auto it = v.FindMember(name);
@@ -39,7 +41,9 @@
   m.primary = text_of(v, "recovery") == "off";
   const double started = number_of(v, "started_ms", 0);
   if (started > 0 && started < 1e13) m.born = Time(static_cast<std::int64_t>(started * 1000));
-  return !m.id.empty() && (m.state == HostState::gone || valid_address(m.address));
+  // Where nothing more goes, where it is does not matter.
+  if (m.state != HostState::ready && !valid_address(m.address)) m.address.clear();
+  return !m.id.empty() && (m.state != HostState::ready || valid_address(m.address));
 }
 
 }  // namespace
@@ -88,6 +92,39 @@
   return buffer.GetString();
 }
 
+ObjectSplitter::Found ObjectSplitter::next(std::string_view& bytes, std::string& object) {
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    const char c = bytes[i];
+    const auto take = [&] {
+      begun_ += bytes.substr(0, i + 1);
+      bytes.remove_prefix(i + 1);
+    };
+    if (quoted_) {
+      if (escaped_) escaped_ = false;
+      else if (c == '\\') escaped_ = true;
+      else if (c == '"') quoted_ = false;
+    } else if (depth_ > 0) {
+      quoted_ = c == '"';
+      depth_ += (c == '{' || c == '[') ? 1 : (c == '}' || c == ']') ? -1 : 0;
+      if (depth_ > 0) continue;
+      take();
+      object.clear();
+      object.swap(begun_);
+      return Found::object;
+    } else if (c == '\n') {
+      bytes.remove_prefix(i + 1);
+      return Found::heartbeat;
+    } else if (c == '{') {
+      depth_ = 1;
+    } else if (c != ' ' && c != '\r' && c != '\t') {
+      return Found::bad;
+    }
+  }
+  if (depth_ > 0) begun_ += bytes;
+  bytes = {};
+  return begun_.size() > line_most ? Found::bad : Found::nothing;
+}
+
 class DiscoveryWatch::Stream : public Connection {
  public:
   Stream(ev::loop_ref loop, Fd fd, std::string request, DiscoveryWatch& owner)
@@ -117,28 +154,27 @@
       };
       return s;
     }();
-    owner_.silence_.again();
-    owner_.heard_ = std::chrono::steady_clock::now();
     const auto in = in_.view();
     const auto used = http_parser_execute(&parser_, &settings, in.data(), in.size());
     const bool bad = used != in.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK;
     if (closed()) return;
     in_.consume(in.size());
-    if (bad || whole_) owner_.ended();
+    if (bad || whole_) owner_.ended(false);
   }
-  void on_end(int) override { owner_.ended(); }
+  void on_end(int) override { owner_.ended(false); }
+  /// Only what is whole is a sign of life: bytes that never end would keep a watch that tells nothing.
   bool body(std::string_view bytes) {
+    std::string object;
     for (;;) {
-      const auto end = bytes.find('\n');
-      line_ += bytes.substr(0, end);
-      if (line_.size() > line_most) return false;
-      if (end == std::string_view::npos) return true;
-      bytes.remove_prefix(end + 1);
-      std::string line;
-      line.swap(line_);
-      if (line.find_first_not_of(" \r") == std::string::npos) continue;  // a heartbeat
-      const auto list = parse_members(line);
+      switch (splitter_.next(bytes, object)) {
+        case ObjectSplitter::Found::nothing: return true;
+        case ObjectSplitter::Found::bad: return false;
+        case ObjectSplitter::Found::heartbeat: owner_.heard(); continue;
+        case ObjectSplitter::Found::object: break;
+      }
+      const auto list = parse_members(object);
       if (!list) return false;
+      owner_.heard();
       owner_.listed(*list);
       if (closed()) return false;
     }
@@ -147,20 +183,22 @@
   std::string request_;
   DiscoveryWatch& owner_;
   http_parser parser_{};
-  std::string line_;
+  ObjectSplitter splitter_;
   bool whole_ = false;
 };
 
 DiscoveryWatch::DiscoveryWatch(ev::loop_ref loop, Reaper& reaper, std::string address, std::uint64_t version,
-                               Events events)
+                               fleet::WatchTerms terms, Events events)
     : loop_(loop),
       reaper_(reaper),
       address_(std::move(address)),
       version_(version),
       events_(std::move(events)),
-      silence_(loop) {
+      terms_(terms),
+      silence_(loop),
+      again_(loop) {
   silence_.set<DiscoveryWatch, &DiscoveryWatch::silent>(this);
-  silence_.set(0, silence_most);
+  again_.set<DiscoveryWatch, &DiscoveryWatch::again>(this);
 }
 
 DiscoveryWatch::~DiscoveryWatch() = default;
@@ -170,36 +208,78 @@
   if (!stream_) open();
 }
 
+void DiscoveryWatch::keep() {
+  kept_ = true;
+  start();
+}
+
 void DiscoveryWatch::move(std::string address) {
   if (stream_) stream_->stop(), reaper_.take(std::move(stream_));
   address_ = std::move(address);
   version_ = 0;
+  terms_.heard();
   open();
 }
 
 void DiscoveryWatch::open() {
+  again_.stop();
+  answered_ = false;
   Fd fd = connect_to(address_);
-  if (fd.get() < 0) return events_.failed();
+  if (fd.get() < 0) return failed();
   std::string request = "GET /catalog/members?follow=1&since=" + std::to_string(version_) +
                         " HTTP/1.1\r\nHost: " + address_ + "\r\nAccept: application/json\r\n\r\n";
   stream_ = std::make_unique<Stream>(loop_, std::move(fd), std::move(request), *this);
-  silence_.again();
+  wait_for_word();
+}
+
+void DiscoveryWatch::wait_for_word() {
+  silence_.stop();
+  silence_.start(seconds(fleet::WatchTerms::silence(answered_)));
+}
+
+void DiscoveryWatch::heard() {
+  answered_ = true;
+  terms_.heard();
+  heard_ = std::chrono::steady_clock::now();
+  wait_for_word();
 }
 
+/// Changes that are older than what is held would undo what was told since: discovery has begun anew, or
+/// another one answers, and is asked for all it has. What they say is to get nothing more binds meanwhile.
 void DiscoveryWatch::listed(const memory::MemberList& list) {
-  version_ = list.version;
-  events_.listed(list);
+  if (list.full || list.version >= version_) {
+    version_ = list.version;
+    told_ = true;
+    return events_.listed(list);
+  }
+  auto binding = list;
+  binding.version = version_;
+  auto& m = binding.members;
+  m.erase(std::remove_if(m.begin(), m.end(), [](const auto& x) { return x.state == HostState::ready; }),
+          m.end());
+  events_.listed(binding);
+  version_ = 0;
+  ended(true);
 }
 
-void DiscoveryWatch::ended() {
+/// The end of what is open; `at_once`: it had to be ended here, and another follows without anybody's word.
+void DiscoveryWatch::ended(bool at_once) {
   silence_.stop();
   if (!stream_) return;
   stream_->stop();
   reaper_.take(std::move(stream_));
-  events_.failed();
+  if (at_once) return open();
+  failed();
+}
+
+void DiscoveryWatch::failed() {
+  if (kept_) again_.start(seconds(terms_.after_end()));
+  else events_.failed();
 }
 
-/// A machine that was cut off says nothing: its watch would look calm for ever.
-void DiscoveryWatch::silent(ev::timer&, int) { ended(); }
+/// A machine that was cut off says nothing: its watch would look calm for ever. One that was heard before is
+/// opened anew at once, for what it misses counts as told soon; one that never said a word is a call that has
+/// failed.
+void DiscoveryWatch::silent(ev::timer&, int) { ended(answered_); }
 
 }  // namespace cedarring::wire
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -408,13 +408,12 @@
       continue;
     }
     socket->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    {
-      const std::lock_guard lock(mutex_);
-      if (stopping_) return;
-      watches_.push_back(socket);
-      changed_.notify_all();
-    }
-    tell(first_);
+    // Under one lock: what a test tells once it has seen the watch comes behind the first list.
+    const std::lock_guard lock(mutex_);
+    if (stopping_) return;
+    watches_.push_back(socket);
+    tell_last(first_);
+    changed_.notify_all();
   }
 }
 
@@ -425,6 +424,10 @@
 
 void Discovery::tell(const std::string& list) {
   const std::lock_guard lock(mutex_);
+  tell_last(list);
+}
+
+void Discovery::tell_last(const std::string& list) {
   char head[32];
   std::snprintf(head, sizeof head, "%zx\r\n", list.size() + 1);
   if (!watches_.empty()) watches_.back()->send(head + list + "\n\r\n");
@@ -439,6 +442,21 @@
   if (end) watches_.back()->shut_down();
 }
 
+void Discovery::raw(const std::string& bytes) {
+  const std::lock_guard lock(mutex_);
+  if (!watches_.empty()) watches_.back()->send(bytes);
+}
+
+void Discovery::drop() {
+  const std::lock_guard lock(mutex_);
+  if (!watches_.empty()) watches_.back()->reset();
+}
+
+void Discovery::tell_first(const std::string& first) {
+  const std::lock_guard lock(mutex_);
+  first_ = first;
+}
+
 std::size_t Discovery::watches() {
   const std::lock_guard lock(mutex_);
   return watches_.size();
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -130,6 +130,9 @@
   void tell(const std::string& list);
   /// Sends the bytes inside an unfinished chunk of the last watch and, where told, ends its connection.
   void blurt(const std::string& bytes, bool end);
+  void raw(const std::string& bytes);         // to the last watch, as they are
+  void drop();                                // resets the last watch
+  void tell_first(const std::string& first);  // to watches that come from now on
   std::size_t watches();
   /// From now on a call is heard and answered only when this says so.
   std::atomic<bool> answers{true};
@@ -137,6 +140,7 @@
 
  private:
   void run();
+  void tell_last(const std::string& list);
   std::string first_;
   int busy_;
   wire::Fd listener_;
