A configuration that lacks what cannot be guessed is turned down with the key's name

Read in the code: settings_parser.cpp gives each key a default, so a class without `effect` could be repeated, one without an entry in needs_by_class was read from any replica, and drains and tipping went by figures of no customer.

Test: Settings.AKeyThatCannotBeGuessedIsNamedWhereItIsMissing.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -126,6 +126,41 @@
   return number;
 }
 
+/// What cannot be guessed without breaking a promise: with a default in its place a class might be repeated
+/// that may not be, read older than it allows, or a host be sent to for longer than it may.
+void check_whole(const Json& settings, const std::string& path) {
+  const auto has = [&](const Json& object, const std::string& at, std::initializer_list<const char*> keys) {
+    for (const auto* key : keys)
+      if (object.FindMember(key) == object.MemberEnd()) throw ConfigError(path + at + key + ": missing");
+  };
+  const auto part = [&](const char* key) -> const Json& {
+    has(settings, "settings.", {key});
+    const auto& v = settings[key];
+    if (!v.IsObject()) throw ConfigError(path + "settings." + key + ": not an object");
+    return v;
+  };
+  has(settings, "settings.", {"classes", "registry_mode"});
+  const auto& classes = settings["classes"];
+  if (!classes.IsArray() || classes.Empty())
+    throw ConfigError(path + "settings.classes: not a list of classes");
+  for (rapidjson::SizeType i = 0; i < classes.Size(); ++i) {
+    const auto at = "settings.classes[" + std::to_string(i) + "].";
+    if (!classes[i].IsObject()) throw ConfigError(path + at + ": not an object");
+    has(classes[i], at, {"name", "aim", "deadline", "effect"});
+    const auto& effect = classes[i]["effect"];
+    if (effect.IsString() && std::string_view(effect.GetString()) == "idempotency_key")
+      has(classes[i], at, {"group", "window"});
+  }
+  has(part("limits"), "settings.limits.", {"send_cap"});
+  has(part("guarantees"), "settings.guarantees.",
+      {"stop_sending_within", "tip_multiple", "tip_after", "cold"});
+  const auto& specifics = part("specifics");
+  has(specifics, "settings.specifics.", {"needs_by_class", "checks"});
+  const auto& needs = specifics["needs_by_class"];
+  if (!needs.IsArray() || needs.Size() != classes.Size())
+    throw ConfigError(path + "settings.specifics.needs_by_class: not one for each class");
+}
+
 /// The list of hosts and the settings, where they are given.
 void read_service(const Json& root, std::uint64_t seed, const std::string& path, ServiceConfig& c) {
   if (const auto known = root.FindMember("known"); known != root.MemberEnd() && !known->value.IsNull()) {
@@ -136,6 +171,7 @@
   const auto settings = root.FindMember("settings");
   if (settings == root.MemberEnd()) return;
   if (!settings->value.IsObject()) throw ConfigError(path + "settings: not an object");
+  check_whole(settings->value, path);
   std::string facts;
   flatten(settings->value, "", facts);
   Time base{};  // positions on sockets are Unix times: nothing is counted from it here
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -5,6 +5,7 @@
 
 #include <thread>
 
+#include "app/config.h"
 #include "fleet/watch_terms.h"
 #include "support/stand_in.h"
 #include "wire/discovery.h"
@@ -369,5 +370,36 @@
   EXPECT_EQ(program.wait_exit(), 0);
 }
 
+// ---- settings from elsewhere ----
+
+TEST(Settings, AKeyThatCannotBeGuessedIsNamedWhereItIsMissing) {
+  const auto good = config_json("127.0.0.1:1", list_of(1, {}));
+  EXPECT_NO_THROW(app::parse_config(good));
+  for (const auto* key : {"registry_mode", "name", "aim", "deadline", "effect", "window", "group", "send_cap",
+                          "stop_sending_within", "tip_multiple", "tip_after", "cold", "needs_by_class",
+                          "checks", "guarantees", "specifics"}) {
+    // The last that has the name: a key of another is left in its place. The gateway's own name comes first.
+    auto bad = good;
+    const auto at = bad.rfind("\"" + std::string(key) + "\":",
+                              std::string(key) == "name" ? bad.find("realms") : bad.npos);
+    ASSERT_NE(at, std::string::npos) << key;
+    bad.replace(at + 1, std::string(key).size(), "x" + std::string(key));
+    try {
+      app::parse_config(bad);
+      // Of five classes the last may be repeated by nobody: it needs no window.
+      EXPECT_TRUE(std::string(key) == "window" || std::string(key) == "group") << key;
+    } catch (const app::ConfigError& e) {
+      EXPECT_NE(std::string(e.what()).find(std::string(key) + ": missing"), std::string::npos) << e.what();
+    }
+  }
+  auto fewer = replaced(good, R"("needs_by_class":["lag_bound",)", R"("needs_by_class":[)");
+  EXPECT_THROW(app::parse_config(fewer), app::ConfigError);
+  // A keyed class does need its window.
+  const auto bid = good.find("\"bid\"");
+  auto keyed = good;
+  keyed.replace(keyed.find("\"window\"", bid), 8, "\"xwindow\"");
+  EXPECT_THROW(app::parse_config(keyed), app::ConfigError);
+}
+
 }  // namespace
 }  // namespace cedarring::test
