--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -161,6 +161,7 @@
   settings.seed = own_.seed;
   settings.zone = own_.zone;
   upstream_.set_times(settings.connect_timeout, settings.idle_close);
+  if (discovery_ && settings.discovery == DiscoveryMode::push) discovery_->keep();
   broker_.retune(std::move(settings), c.budgets);
 }
 
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -90,7 +90,7 @@
 
  private:
   void on_input() final;
-  [[nodiscard]] bool owes() const final { return !slots_.empty(); }
+  [[nodiscard]] bool owes() const final { return !slots_.empty() || !out_.empty(); }
   [[nodiscard]] bool can_wait() const final { return true; }
   [[nodiscard]] bool drained() const;
   void flush_answers();
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -228,8 +228,10 @@
     wire::mysql::put_packet(out, sequence, wire::mysql::query_packet({}, gate(id)));
     return out;
   }
-  /// Both hosts have seen what the two that stay have asked, and nothing else.
-  void only_those_who_stay(PgClient& pg, MysqlRaw& mysql) {
+  /// Both hosts see what two that come now ask, and nothing else.
+  void only_those_who_stay() {
+    PgClient pg(program.pg());
+    MysqlRaw mysql(program.mysql());
     EXPECT_EQ(pg.query(gate("stays")).types, "TDCZ");
     mysql.socket.send(mysql_gate("stays"));
     EXPECT_TRUE(mysql.read_packet());
@@ -240,8 +242,6 @@
 
 TEST(Leaving, WhoeverLeftWhileItWaitedIsNotSentOnHoweverItLeft) {
   Waiting w;
-  PgClient pg(w.program.pg());
-  MysqlRaw mysql(w.program.mysql());
   const std::string more(std::size_t{101} << 10U, ' ');  // two of these are more than its buffer takes
   const std::string terminate("X\0\0\0\4", 5);
   std::vector<std::unique_ptr<PgClient>> clients;
@@ -280,7 +280,7 @@
   }
   ASSERT_TRUE(w.wait_active(0, 2s)) << "they leave waiting lines, budgets and counts: " << w.active();
   w.find_primary();
-  w.only_those_who_stay(pg, mysql);
+  w.only_those_who_stay();
 }
 
 // ---- answers that are owed ----
@@ -351,6 +351,19 @@
   EXPECT_EQ(program.wait_exit(), 0);
 }
 
+TEST(TheEnd, BeforeTheFirstListWhoeverHasComeIsServed) {
+  Ledger f;
+  f.discovery.answers = false;
+  Program program(pushed(config_json(f.discovery.address(), f.all)));
+  PgClient c(program.pg(), false);
+  c.socket.send(pg_startup() + pg_query(statement("a1", "history")));
+  program.signal(SIGTERM);
+  c.read_answer();  // the welcome
+  EXPECT_EQ(c.read_answer().types, "TDCZ");
+  EXPECT_EQ(program.wait_exit(), 0);
+  f.discovery.answers = true;
+}
+
 TEST(TheEnd, WhatIsStillHeldIsAnsweredBeforeItIsKilledThoughItMightWaitLonger) {
   Ledger f;
   // 0.6 s until the last call.
