--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 SOURCES = $(shell git ls-files 'src/app/*' 'src/memory/*' 'src/wire/*' 'src/telemetry/*' 'src/gates/*' \
 	'src/levels/*' 'src/contracts/*' 'src/fleet/*' 'src/handover/*' 'src/tools/*' 'src/router/settings_parser.*' src/main.cpp 'tests/support/*' \
 	tests/broker_test.cpp tests/codec_test.cpp tests/connection_test.cpp tests/gateway_test.cpp tests/mysql_test.cpp \
-	tests/dns_test.cpp tests/service_test.cpp)
+	tests/dns_test.cpp tests/service_test.cpp tests/moments_test.cpp)
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
