A client that cannot move to the next process is not closed over its unread request

Read in the code (ClientSet::give_idle): while another process takes over, idle clients with prepared statements are closed without a look at the socket, where the next request may wait; the close would reset the connection. They are passed over until it has been read, as eviction and retirement do. Also: whether lists are pushed is read from the settings of the start instead of kept beside them; drain() stops its watcher once.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -23,7 +23,6 @@
       for_levels_(c.for_levels()),
       for_contracts_(c.for_contracts()),
       known_(before ? before->list : c.known),
-      pushed_(c.settings.discovery == DiscoveryMode::push),
       upstream_(loop, reaper, clock, {c.settings.connect_timeout, c.settings.idle_close, descriptors / 4},
                 parts.host, [this] { watch(); }),
       broker_(c.settings, c.budgets, c.zones, clock, upstream_),
@@ -44,7 +43,7 @@
   if (c.levels) start_levels(*c.levels);
   broker_.start(known_);
   // Nobody asks for what is pushed, yet it comes on a watch.
-  if (discovery_ && pushed_) discovery_->keep();
+  if (discovery_ && own_.discovery == DiscoveryMode::push) discovery_->keep();
   if (!before) return;
   for (const auto& id : before->out) broker_.set_out(id, true, true);
   for (const auto& h : before->heard) broker_.learn(h.host, h.role, h.position);
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -28,7 +28,9 @@
           wire::Fd updates = wire::Fd());
   /// Whether what it would choose from is known: where lists are pushed, what they say counts from the first
   /// moment, so one has to have come.
-  [[nodiscard]] bool informed() const { return !pushed_ || !discovery_ || discovery_->told(); }
+  [[nodiscard]] bool informed() const {
+    return !discovery_ || own_.discovery != DiscoveryMode::push || discovery_->told();
+  }
   /// Takes clients from here on.
   void begin() { clients_.begin(); }
   /// Another process follows: `give` hands it a client.
@@ -105,7 +107,6 @@
   levels::Service for_levels_;
   contracts::Service for_contracts_;
   memory::MemberList known_;
-  bool pushed_;  // lists are
   wire::SocketUpstream upstream_;
   memory::Broker broker_;
   // Without either of these the known list is all there is.
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -285,7 +285,6 @@
   io_.stop();
   // Whoever waits in the listener's queue believes to be connected: closing it would reset them.
   for (int i = 0; i < 16 && listening() && !give_ && take_waiting(); ++i) {}
-  io_.stop();
   rest_.stop();
   listener_.reset();
   if (give_) return;  // those there are go over as they fall idle
@@ -329,6 +328,8 @@
   for (const auto& [key, c] : clients_)
     if (c->quiet() && (c->movable() || c->has_spoken())) all.push_back(key);
   for (auto* c : all) {
+    // What waits in the socket of one that cannot move is read first: closing over it would reset it.
+    if (!c->movable() && c->pending()) continue;
     if (c->movable() && !give_(c->descriptor(), c->known())) return;
     c->leave();  // closes our descriptor alone where the other process has one
   }
