Tests: clients that leave across an upgrade, and a hand-over crossed by either process's SIGTERM

The next process is held at the middle of its start by a discovery that does not answer, so each SIGTERM comes between the listener's passing and the first client's: the old one serves what is in work and leaves, what comes meanwhile waits in the shared listener's queue; the other way round the old one serves on.

--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -283,6 +283,30 @@
   w.only_those_who_stay();
 }
 
+TEST(Leaving, AcrossAnUpgradeNothingIsSentForThemByEitherProcess) {
+  Waiting w;
+  std::vector<std::unique_ptr<PgClient>> clients;
+  std::vector<std::unique_ptr<MysqlRaw>> others;
+  for (int i = 0; i < 20; ++i) {
+    const auto id = "w" + std::to_string(i);
+    std::string all = pg_query(Waiting::gate(id));
+    if (i % 2 == 1)  // its end stands behind what is not read
+      for (int k = 0; k < 20; ++k) all += pg_query(Waiting::gate(id + "." + std::to_string(k)));
+    if (i % 2 == 1) all += pg_query(std::string(101 << 10, ' ')) + pg_query(std::string(101 << 10, ' '));
+    clients.emplace_back(std::make_unique<PgClient>(w.program.pg()))->socket.send(all);
+    others.emplace_back(std::make_unique<MysqlRaw>(w.program.mysql()))->socket.send(Waiting::mysql_gate(id));
+  }
+  ASSERT_TRUE(w.wait_active(10 + 10 * 16 + 20)) << w.active();
+  Program next(w.program, w.program.pg());
+  ASSERT_TRUE(w.program.wait_output("followed", 1));
+  clients.clear(), others.clear();
+  ASSERT_TRUE(w.wait_active(0, 2s)) << w.active();
+  w.program.signal(SIGTERM);
+  w.find_primary();
+  w.only_those_who_stay();
+  EXPECT_EQ(w.program.wait_exit(), 0);
+}
+
 // ---- answers that are owed ----
 
 TEST(Owed, ManyLongAnswersWaitForAClientThatReadsThemLate) {
@@ -383,6 +407,58 @@
   EXPECT_EQ(program.wait_exit(), 0);
 }
 
+/// An upgrade held at its middle: the next process has the listener, and waits for its first list.
+struct HalfWay {
+  Ledger f;
+  Program old{with_key(pushed(config_json(f.discovery.address(), f.all)), R"("control":"127.0.0.1:0")")};
+  PgClient idle{old.pg()}, busy{old.pg()};
+  std::unique_ptr<Program> next;
+  HalfWay() {
+    EXPECT_EQ(idle.query(statement("i1", "gate")).types, "TDCZ");
+    f.primary.act = Act::hold;
+    busy.socket.send(pg_query(statement("b1", "pay")));
+    EXPECT_TRUE(f.primary.wait_for(2));
+    f.discovery.answers = false;
+    const int before = f.discovery.calls;
+    next = std::make_unique<Program>(old, old.pg());
+    for (const auto until = Clock::now() + patience; f.discovery.calls == before && Clock::now() < until;) {}
+  }
+};
+
+TEST(TheEnd, AHandOverCrossedByTheOldOnesSigtermLosesNobody) {
+  HalfWay h;
+  h.old.signal(SIGTERM);
+  PgClient meanwhile(h.old.pg(), false);  // heard by either
+  meanwhile.socket.send(pg_startup() + pg_query(statement("m1", "history")));
+  h.f.primary.act = Act::serve;
+  EXPECT_EQ(h.busy.read_answer().types, "TDCZ");
+  meanwhile.read_answer();  // the welcome
+  EXPECT_EQ(meanwhile.read_answer().types, "TDCZ");
+  EXPECT_EQ(h.old.wait_exit(), 0);
+  // Comes while nobody takes clients, and waits in the listener's queue.
+  PgClient late(h.old.pg(), false);
+  late.socket.send(pg_startup() + pg_query(statement("l1", "gate")));
+  h.f.discovery.answers = true;
+  late.read_answer();  // the welcome
+  EXPECT_EQ(late.read_answer().types, "TDCZ");
+}
+
+TEST(TheEnd, AHandOverThatTheNextOnesSigtermEndsLeavesTheOldOneServing) {
+  HalfWay h;
+  h.next->signal(SIGTERM);
+  h.f.primary.act = Act::serve;
+  for (int i = 0; i < 40; ++i) {
+    PgClient c(h.old.pg());
+    EXPECT_EQ(c.query(statement("c" + std::to_string(i), "gate")).types, "TDCZ");
+  }
+  EXPECT_EQ(h.next->wait_exit(), 0);
+  EXPECT_EQ(h.busy.read_answer().types, "TDCZ");
+  EXPECT_EQ(h.idle.query(statement("i2", "gate")).types, "TDCZ");
+  PgClient c(h.old.pg());
+  EXPECT_EQ(c.query(statement("d", "gate")).types, "TDCZ");
+  h.f.discovery.answers = true;
+}
+
 // ---- settings from elsewhere ----
 
 TEST(Settings, AKeyThatCannotBeGuessedIsNamedWhereItIsMissing) {
