Rig: links between gateways, with cuts, delay, loss, doubling and disorder each way

Each gateway is shown to the others at an address of the rig's, through which datagrams and connections pass: one socket a gateway, however many links, and the address that a datagram comes from is the one that the sender is known by. Not taken: a socket for each pair (90,000 at 300), or rules of the kernel, which need rights.

RigRelay.* over plain sockets: each way has its own faults, 500 datagrams at 30% loss, 20% doubled and 20% late come as many, a stranger is counted and dropped, a connection stands still in a cut and goes on.

--- a/src/tools/rig/rig.cpp
+++ b/src/tools/rig/rig.cpp
@@ -288,6 +288,36 @@
     if (link->ended_there()) link->drop(false);
 }
 
+// ---- between gateways ----
+std::string Rig::peer_address(int gateway, bool shown) const {
+  const auto& links = gateways_[static_cast<std::size_t>(gateway)].links;
+  const auto net = links.substr(0, links.find('.', 4));
+  const int n = gateway + 1;
+  return net + "." + std::to_string((shown ? 200 : 150) + n / 250) + "." + std::to_string(n % 250) + ":7100";
+}
+
+void Rig::set_ways(const Fault& f, const std::vector<int>& from, const std::vector<int>& to, bool on) {
+  const auto set = [&](int a, int b) {
+    auto& w = ways_[{a, b}];
+    switch (f.what) {
+      case Do::cut: w.cut = on; break;
+      case Do::delay: w.delay = on ? Duration(static_cast<std::int64_t>(f.factor * 1000)) : Duration{}; break;
+      case Do::loss: w.loss = on ? f.factor : 0; break;
+      case Do::twice: w.twice = on ? f.factor : 0; break;
+      default: w.late = on ? f.factor : 0;
+    }
+    if (w.clear()) ways_.erase({a, b});
+  };
+  for (const int a : from)
+    for (const int b : to) {
+      if (a == b) continue;
+      if (f.there) set(a, b);
+      if (f.back) set(b, a);
+      if (on && f.reset) relay_->reset(a, b);
+    }
+  relay_->changed();
+}
+
 // ---- processes ----
 void Rig::start(int gateway, bool upgrade) {
   auto& g = gateways_[static_cast<std::size_t>(gateway)];
@@ -302,7 +332,17 @@
   std::vector<std::pair<std::string, std::string>> variables = {{"ROUTER_CONFIG", g.dir + "/config.json"},
                                                                 {"TMPDIR", g.dir}};
   if (!s_.gateway_file.empty()) {
-    std::ofstream(g.dir + "/gateway.json") << s_.gateway_file;
+    auto file = s_.gateway_file;
+    const auto put = [&](const std::string& what, const std::string& with) {
+      for (auto at = file.find(what); at != std::string::npos; at = file.find(what, at + with.size()))
+        file.replace(at, what.size(), with);
+    };
+    std::string seeds;
+    for (int i = 0; i < std::min(3, s_.gateways); ++i)
+      seeds += (i ? ",\"" : "\"") + peer_address(i, true) + '"';
+    put("\"@SEEDS@\"", '[' + seeds + ']');
+    put("@REAL@", peer_address(gateway, false)), put("@SHOWN@", peer_address(gateway, true));
+    std::ofstream(g.dir + "/gateway.json") << file;
     variables.emplace_back("CEDARRING_GATEWAY", g.dir + "/gateway.json");
   }
   if (upgrade || g.pid > 0) g.before = g.pid;  // one that is told to end may not have yet
@@ -573,11 +613,28 @@
   const auto later = [&](auto what) {
     if (f.lasts > Duration::zero()) timeline_.after(f.lasts, what);
   };
-  static constexpr const char* words[] = {
-      "killed",   "told to end",  "stopped",          "told of settings", "upgraded",      "slow",
-      "failing",  "silent",       "behind",           "draining",         "cut off",       "delayed",
-      "refusing", "breaking off", "spoiling answers", "up late",          "closing early", "mute",
-      "torn"};
+  static constexpr const char* words[] = {"killed",
+                                          "told to end",
+                                          "stopped",
+                                          "told of settings",
+                                          "upgraded",
+                                          "slow",
+                                          "failing",
+                                          "silent",
+                                          "behind",
+                                          "draining",
+                                          "cut off",
+                                          "delayed",
+                                          "refusing",
+                                          "breaking off",
+                                          "spoiling answers",
+                                          "up late",
+                                          "closing early",
+                                          "mute",
+                                          "torn",
+                                          "losing datagrams",
+                                          "doubling datagrams",
+                                          "out of order"};
   const auto on = picked(f.on, number * 2);
   std::string text;
   const char letter = f.on.kind == Pick::Kind::gateways ? 'g' : 'h';
@@ -700,8 +757,19 @@
               back.draining = false, back.model->set_draining(false), list_changed();
             });
       break;
+    case Do::loss:
+    case Do::twice:
+    case Do::disorder:
     case Do::cut:
     case Do::delay: {
+      if (f.to.kind == Pick::Kind::gateways) {
+        const auto to = picked(f.to, number * 2 + 1);
+        set_ways(f, on, to, true);
+        later([this, f, on, to] {
+          set_ways(f, on, to, false), mark("links between gateways are whole again");
+        });
+        break;
+      }
       std::set<std::pair<int, int>> pairs;
       for (const int g : on)
         for (const int h : picked(f.to, number * 2 + 1)) {
@@ -786,6 +854,15 @@
   }
   for (auto& h : hosts_) listen(h);
   listen(discovery_);
+  if (s_.peers) {
+    std::vector<Relay::Peer> peers;
+    for (int g = 0; g < s_.gateways; ++g) peers.push_back({peer_address(g, false), peer_address(g, true)});
+    relay_ = std::make_unique<Relay>(loop_, timeline_, s_.seed, std::move(peers), [this](int from, int to) {
+      const auto it = ways_.find({from, to});
+      return it == ways_.end() ? Way{} : it->second;
+    });
+    if (result_.error.empty()) result_.error = relay_->error();
+  }
   if (!result_.error.empty()) return std::move(result_);
   prepare_.start(), check_.start();
   const auto from = clock_.now();
--- a/src/tools/rig/rig.h
+++ b/src/tools/rig/rig.h
@@ -16,6 +16,7 @@
 #include "app/clock.h"
 #include "tools/lab/ledger.h"
 #include "tools/lab/timeline.h"
+#include "tools/rig/relay.h"
 #include "tools/rig/rules.h"
 #include "tools/rig/scenario.h"
 #include "wire/connection.h"
@@ -140,6 +141,9 @@
   void counts_as_told(int gateway);
   void stop_host(int host);
   void start_host(int host);
+  /// What is done to the ways between two sets of gateways, by a fault or its end.
+  void set_ways(const Fault& fault, const std::vector<int>& from, const std::vector<int>& to, bool on);
+  [[nodiscard]] std::string peer_address(int gateway, bool shown) const;
   Trouble& trouble(int gateway, int host) { return troubles_[{gateway, host}]; }
   [[nodiscard]] const Trouble& trouble_of(int gateway, int host) const;
   void see_to(const std::set<std::pair<int, int>>& pairs, bool with_reset);
@@ -179,6 +183,8 @@
   std::vector<std::unique_ptr<lab::Ledger>> groups_;
   std::vector<Host> hosts_;
   std::map<std::pair<int, int>, Trouble> troubles_;
+  std::map<std::pair<int, int>, Way> ways_;  // from one gateway to another
+  std::unique_ptr<Relay> relay_;
   std::uint64_t version_ = 1;
   bool discovery_refuses_ = false;
   Host discovery_;                          // its listeners
--- a/src/tools/rig/scenario.h
+++ b/src/tools/rig/scenario.h
@@ -37,7 +37,10 @@
   late,       // connections come up late
   hurry,      // idle connections are closed early
   mute,       // watches that are open fall silent and stay open
-  tear        // watches end in the middle of a list
+  tear,       // watches end in the middle of a list
+  loss,       // of datagrams between gateways, as all that follow
+  twice,      // some come two times
+  disorder    // some come behind later ones
 };
 
 struct Fault {
@@ -46,7 +49,8 @@
   Pick on;           // of a link: its gateways
   Pick to;           // of a link: its hosts
   Duration lasts{};  // 0: to the end
-  // slow, lag: times as long; fail, break_off, spoil: share of the requests; delay, late, hurry: milliseconds
+  // slow, lag: times as long; fail, break_off, spoil: share of the requests; loss, twice, disorder: of the
+  // datagrams; delay, late, hurry: milliseconds
   double factor = 1;
   bool reset = false;              // of a cut: connections are reset, and not silent
   bool there = true, back = true;  // of a cut: which ways
@@ -71,7 +75,10 @@
   std::vector<lab::TenantSpec> tenants;
   double leaving = 0;         // share of the requests whose clients leave before their time is up
   double probe_price = 0.05;  // of a request's worth, as the settings tell it
-  std::string gateway_file;   // of each gateway, as JSON; empty: none
+  // Of each gateway, as JSON; empty: none. Where gateways talk, @REAL@ is the address that it talks at,
+  // @SHOWN@ the one that others reach it at, and "@SEEDS@" a list of the first three of those.
+  std::string gateway_file;
+  bool peers = false;  // they do
   std::vector<Fault> faults;
   double served_least = 0;  // of the worth, in time, for a verdict on figures; 0: none
 };
--- a/tests/rig_test.cpp
+++ b/tests/rig_test.cpp
@@ -1,11 +1,13 @@
 // The rig: its rules find each planted defect and name the request; scenarios are checked before anything
 // starts; and many processes of the gateway keep the rules while faults come between them.
+#include <arpa/inet.h>
 #include <dirent.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <rapidjson/document.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -19,6 +21,7 @@
 #include <thread>
 
 #include "app/json_schema.h"
+#include "tools/rig/relay.h"
 #include "tools/rig/rules.h"
 #include "tools/rig/scenario.h"
 
@@ -214,6 +217,8 @@
            {fault(R"({"at_s":1,"do":"stop","on":{"of":"hosts"}})"), "/faults/0/on/of"},
            {fault(R"({"at_s":1,"do":"cut","on":{"of":"gateways"}})"), "/faults/0/to"},
            {fault(R"({"at_s":1,"do":"kill","on":{"of":"hosts"},"to":{"of":"hosts"}})"), "/faults/0/to"},
+           {fault(R"({"at_s":1,"do":"loss","on":{"of":"gateways"},"to":{"of":"hosts"}})"), "/faults/0/to/of"},
+           {fault(R"({"at_s":1,"do":"loss","on":{"of":"gateways"},"to":{"of":"gateways"}})"), "/peers"},
            {fault(R"({"at_s":99,"do":"kill","on":{"of":"hosts"}})"), "/faults/0/at_s"},
            {fault(R"({"at_s":1,"do":"tickle","on":{"of":"hosts"}})"), "/faults/0/do"}}) {
     EXPECT_NE(flaw(text).find(at), std::string::npos) << text << " -> " << flaw(text);
@@ -221,6 +226,130 @@
   }
 }
 
+// ---- links between gateways ----
+/// Three that talk, at addresses of their own.
+struct Talk {
+  ev::dynamic_loop loop;
+  lab::Timeline timeline{Time{}};
+  std::map<std::pair<int, int>, Way> ways;
+  std::vector<wire::Fd> sockets;
+  std::vector<Relay::Peer> peers;
+  std::unique_ptr<Relay> relay;
+  Talk() {
+    for (int i = 1; i <= 3; ++i) {
+      sockets.push_back(wire::bind_datagram("127.9.1." + std::to_string(i) + ":0"));
+      const auto real = wire::bound_address(sockets.back());
+      // A port that is free for both kinds: the real one's, at another address.
+      peers.push_back({real, "127.9.2." + std::to_string(i) + real.substr(real.rfind(':'))});
+    }
+    relay = std::make_unique<Relay>(
+        loop, timeline, 1, peers, [this](int a, int b) { return ways[{a, b}]; });
+  }
+  static sockaddr_in at(const std::string& address) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + address.rfind(':') + 1)));
+    inet_pton(AF_INET, address.substr(0, address.rfind(':')).c_str(), &a.sin_addr);
+    return a;
+  }
+  void say(int from, int to, const std::string& text) {
+    const auto a = at(peers[static_cast<std::size_t>(to)].shown);
+    ::sendto(sockets[static_cast<std::size_t>(from)].get(), text.data(), text.size(), 0,
+             reinterpret_cast<const sockaddr*>(&a), sizeof a);
+    turn();
+  }
+  void turn(Duration d = {}) {
+    timeline.run_until(timeline.now() + d);
+    for (int i = 0; i < 4; ++i) loop.run(ev::NOWAIT);
+  }
+  /// What has come to one, each with the number of who seems to have sent it.
+  std::vector<std::string> heard(int who) {
+    std::vector<std::string> all;
+    char text[256];
+    sockaddr_in a{};
+    socklen_t size = sizeof a;
+    for (ssize_t n; (n = ::recvfrom(sockets[static_cast<std::size_t>(who)].get(), text, sizeof text,
+                                    MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&a), &size)) >= 0;) {
+      const int sender = static_cast<int>(ntohl(a.sin_addr.s_addr) & 0xffU) - 1;
+      EXPECT_EQ(ntohl(a.sin_addr.s_addr) >> 8U & 0xffU, 2U) << "from where the sender is shown";
+      all.push_back(std::to_string(sender) + std::string(text, static_cast<std::size_t>(n)));
+    }
+    return all;
+  }
+};
+
+TEST(RigRelay, DatagramsComeFromWhoSentThemAndEachWayHasItsOwnFaults) {
+  Talk t;
+  ASSERT_EQ(t.relay->error(), "");
+  t.say(0, 1, "a"), t.say(2, 1, "b");
+  EXPECT_EQ(t.heard(1), (std::vector<std::string>{"0a", "2b"}));
+  t.ways[{0, 1}].cut = true;
+  t.say(0, 1, "lost"), t.say(1, 0, "back"), t.say(0, 2, "other");
+  EXPECT_EQ(t.heard(1), std::vector<std::string>{});
+  EXPECT_EQ(t.heard(0), std::vector<std::string>{"1back"});
+  EXPECT_EQ(t.heard(2), std::vector<std::string>{"0other"});
+  t.ways[{0, 1}] = {};
+  t.ways[{0, 1}].delay = 500ms;
+  t.say(0, 1, "late");
+  EXPECT_TRUE(t.heard(1).empty());
+  t.turn(500ms);
+  EXPECT_EQ(t.heard(1), std::vector<std::string>{"0late"});
+  t.ways[{0, 1}] = {};
+  t.ways[{0, 1}].loss = 0.3, t.ways[{0, 1}].twice = 0.2, t.ways[{0, 1}].late = 0.2;
+  std::map<std::string, int> times;
+  std::size_t all = 0, behind = 0;
+  std::string last;
+  for (int i = 100; i < 600; ++i) {
+    t.say(0, 1, std::to_string(i));
+    t.turn(10ms);
+    for (const auto& h : t.heard(1)) ++times[h], ++all, behind += h < last, last = std::max(last, h);
+  }
+  EXPECT_NEAR(static_cast<double>(times.size()), 350, 40);
+  EXPECT_NEAR(static_cast<double>(all - times.size()), 70, 30);
+  EXPECT_GT(behind, 20U);
+  wire::Fd stranger = wire::bind_datagram("127.9.3.1:0");
+  const auto to = Talk::at(t.peers[1].shown);
+  ::sendto(stranger.get(), "x", 1, 0, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  t.turn();
+  EXPECT_EQ(t.relay->counts().foreign, 1U);
+}
+
+TEST(RigRelay, ConnectionsStandStillInACutAndGoOnAfterIt) {
+  Talk t;
+  ASSERT_EQ(t.relay->error(), "");
+  auto listener = wire::listen_on(t.peers[1].real);
+  // From the address of the first, as its gateway would.
+  wire::Fd near(::socket(AF_INET, SOCK_STREAM, 0));
+  auto from = Talk::at("127.9.1.1:0"), to = Talk::at(t.peers[1].shown);
+  ASSERT_EQ(::bind(near.get(), reinterpret_cast<sockaddr*>(&from), sizeof from), 0);
+  ASSERT_EQ(::connect(near.get(), reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+  t.turn();
+  wire::Fd far;
+  for (int i = 0; i < 1000 && far.get() < 0; ++i) t.turn(), far = wire::accept_from(listener.get());
+  ASSERT_GE(far.get(), 0);
+  const auto heard = [&](const wire::Fd& at) {
+    std::string all(64, '\0');
+    for (int i = 0; i < 50; ++i) {
+      t.turn();
+      const auto n = ::recv(at.get(), all.data(), all.size(), MSG_DONTWAIT);
+      if (n >= 0) return n == 0 ? std::string("end") : all.substr(0, static_cast<std::size_t>(n));
+      if (errno == ECONNRESET) return std::string("reset");
+    }
+    return std::string();
+  };
+  ::send(near.get(), "one", 3, 0);
+  EXPECT_EQ(heard(far), "one");
+  t.ways[{0, 1}].cut = true, t.relay->changed();
+  ::send(near.get(), "two", 3, 0), ::send(far.get(), "back", 4, 0);
+  EXPECT_EQ(heard(far), "");
+  EXPECT_EQ(heard(near), "back");
+  t.ways.clear(), t.relay->changed();
+  EXPECT_EQ(heard(far), "two");
+  t.relay->reset(1, 0);
+  EXPECT_EQ(heard(far), "reset");
+  EXPECT_EQ(heard(near), "reset");
+}
+
 // ---- processes ----
 std::string folder() {
   char at[] = "/tmp/cedarring-rig-test-XXXXXX";
