The share of replicas past a read's bound follows how often such reads are answered

Cause: lag is the time since a position was last known, so a gateway that hears seldom believes most replicas past the bound, and the design's 5% for them sends nearly all bounded reads to the few just heard, who are heard again by that. The steps stay; the share past the bound is open in the design, and is learned now (fleet::PastShare, from reads answered or turned away there, 5% to 50%, by group and over all groups). Not taken: a fixed 0.3 (goes on where replicas do lag), per group alone (learns nothing at 300 gateways), full weight up to the bound (no change).

Tests: shares after 40 reads answered and turned away, and none where replicas do not check; both fail with the fixed share.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -18,9 +18,6 @@
 namespace {
 
 // ---- tuned values: all are shares or multiples of settings and of what is observed ----
-constexpr double full_until = 0.5,
-                 half_weight = 0.5;   // share of the bound with full weight; weight past it (design)
-constexpr double past_weight = 0.05;  // past the bound, only where replicas check reads (design)
 constexpr double latency_gain = 0.15,
                  class_gain = 0.03;       // EWMA gains: a host against its class, a class (slow)
 constexpr double default_latency = 0.25;  // of the class aim, until measured
@@ -213,17 +210,18 @@
   /// The design's step weight of a replica for a request: 0 is down.
   double step_weight(const Host& h, const Request& r) const {
     const auto& c = s_.classes[r.cls.value];
-    if (c.freshness == Freshness::any) return 1;
-    if (c.freshness == Freshness::session && h.position >= r.needs) return 1;
-    if (h.position == never) return 0;
-    if (c.freshness == Freshness::session) return past_step();
-    if (c.freshness != Freshness::bounded) return 0;
-    const auto lag = now_ - h.position;
-    if (lag < scale(c.bound, full_until)) return 1;
-    if (lag <= c.bound) return half_weight;
-    return past_step();
-  }
-  double past_step() const { return s_.checks == StaleCheck::none ? 0 : past_weight; }
+    if (behind(h, r))
+      return h.position == never || s_.checks == StaleCheck::none
+                 ? 0
+                 : fleet::PastShare::weight(groups_.at(h.group).past, past_);
+    return c.freshness == Freshness::bounded ? fleet::lag_step(now_ - h.position, c.bound) : 1;
+  }
+  /// Whether the replica is believed too far behind for the request; its host judges by what is true.
+  bool behind(const Host& h, const Request& r) const {
+    const auto& c = s_.classes[r.cls.value];
+    if (c.freshness == Freshness::session) return h.position < r.needs;
+    return c.freshness == Freshness::bounded && now_ - h.position > c.bound;
+  }
 
   // ---- primary ----
   /// Newest evidence wins, by when it was true.
@@ -499,7 +497,7 @@
             busy = busy || healthy(h);
             continue;
           }
-          within = within || step > past_weight;
+          within = within || !behind(h, r);
           const auto queue = queue_known(h) ? Duration::zero() : usual;  // the rest is in expected()
           const double latency = std::max(0.1, ms(expected(h, r.cls) + queue));
           const double well = step * warmth(h) * std::pow(1 - h.outlier.ill(now_), 2);
@@ -728,6 +726,7 @@
     Attempt a;
     a.host = h.id;
     a.sent = now_;
+    a.behind = &h != primary(r.group) && behind(h, r);
     r.attempts.push_back(a);
     ++r.out;
     if (++attempts_out_ >= places_) turn_ = r.group;
@@ -753,6 +752,8 @@
                      e.outcome == Outcome::cancelled;
     if (ran && a.sent < r.maybe_ran) r.maybe_ran = a.sent, r.maybe_host = a.host;
     if (e.outcome == Outcome::miss) r.missed = true;
+    if (a.behind && (e.outcome == Outcome::ok || e.outcome == Outcome::miss))
+      for (auto* past : {&groups_[group].past, &past_}) past->ended(e.outcome == Outcome::ok);
     r.reached = r.reached || (e.outcome != Outcome::connect_failed && e.outcome != Outcome::moot);
     if (e.outcome == Outcome::ok && s_.classes[r.cls.value].freshness == Freshness::write) {
       // Without a commit in the answer the present is the only safe bound.
--- a/src/router/state.h
+++ b/src/router/state.h
@@ -11,6 +11,7 @@
 
 #include "cedarring/router.h"
 #include "fleet/cold_spending.h"
+#include "fleet/lag_steps.h"
 #include "fleet/outlier.h"
 #include "fleet/probe_budget.h"
 #include "handover/portion.h"
@@ -87,6 +88,7 @@
   bool out = true;
   bool cancelled = false;
   bool noted = false;  // counted as overdue
+  bool behind = false;  // at a replica believed too far behind
 };
 
 struct Request {
@@ -159,6 +161,7 @@
   Time next_sweep = never;
   int held = 0;               // requests without an end
   Duration period = forever;  // of its probes, if any
+  fleet::PastShare past{1};  // of all that is known of it
   struct {
     Time until = never;
   } asked[2];  // when replicas, or the primary, were last asked for what waits
@@ -199,6 +202,7 @@
   std::vector<Duration> class_latency_;
   Load load_[2];             // of replicas, of primaries
   Recent wanted_[2];         // work asked of them
+  fleet::PastShare past_{0.5};  // of all groups; half: nothing is known
   Recent arrived_, served_;  // requests that came or are tried again; work answered
   Time started_ = never;     // when the first event came
   double retry_tokens_ = 0;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,6 +9,7 @@
 
 #include "cedarring/router.h"
 #include "fleet/connect_patience.h"
+#include "fleet/lag_steps.h"
 #include "fleet/outlier.h"
 #include "fleet/probe_budget.h"
 #include "memory/places.h"
@@ -136,6 +137,26 @@
   EXPECT_LT(p.allowed(250ms), 200ms);
 }
 
+TEST(LagSteps, APastShareStaysBetweenTheDesignsAndTheStepBefore) {
+  using fleet::PastShare;
+  EXPECT_EQ(fleet::lag_step(99ms, 200ms), 1);
+  EXPECT_EQ(fleet::lag_step(100ms, 200ms), 0.5);
+  PastShare group{1}, other{1}, all{0.5};
+  EXPECT_EQ(PastShare::weight(group, all), PastShare::least) << "nothing is known";
+  for (int i = 0; i < 100; ++i) group.ended(true), all.ended(true);
+  EXPECT_NEAR(PastShare::weight(group, all), PastShare::most, 0.01);
+  for (int i = 0; i < 4; ++i) group.ended(false), all.ended(false);
+  EXPECT_LT(PastShare::weight(group, all), 0.1) << "four turned away in a row";
+  for (int i = 0; i < 20; ++i) other.ended(true), all.ended(true);
+  EXPECT_LT(PastShare::weight(group, all), PastShare::weight(other, all)) << "others' answers do not hide a group";
+  double last = PastShare::weight(group, all);
+  for (int i = 0; i < 50; ++i) {
+    group.ended(true);
+    EXPECT_GE(PastShare::weight(group, all), last);
+    last = PastShare::weight(group, all);
+  }
+}
+
 TEST(Outlier, OneFailureAfterLongQuietCountsForAllThatWasNotSeen) {
   fleet_budget::Outlier busy({0.2, 3, 0.5}), quiet({0.2, 3, 0.5});
   Time now = 100s;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -284,6 +284,39 @@
   EXPECT_EQ(b.last_host[r], 1U);
 }
 
+/// One of hundreds of routers believes most replicas past the bound that are not: what they answer says so.
+TEST(Fallback, TheShareOfReplicasPastTheBoundFollowsWhatTheyAnswer) {
+  auto s = make_settings();
+  s.checks = StaleCheck::refuse;
+  Bench b(s);
+  const auto hear = [&](Duration late) {
+    b.report(1, b.now, true), b.report(2, b.now - 100ms, false), b.report(3, b.now - late, false);
+  };
+  hear(1500ms);
+  const auto share = [&] { return b.spread(bounded, 2000)[3] / 2000.0; };
+  const auto past = [&](Outcome how) {  // those that the draw sends there end like that
+    for (int n = 0; n < 40;) {
+      const auto r = b.ask(bounded);
+      const bool there = b.last_host[r] == 3;
+      n += there ? 1 : 0;
+      // Its position stays what it was, as where another answers for it.
+      b.end(r, there ? how : Outcome::ok, Note{Role::replica, {}});
+      if (there && how == Outcome::miss) b.end(r, Outcome::ok, Note{Role::primary, {}});
+    }
+  };
+  EXPECT_NEAR(share(), 0.048, 0.02);
+  past(Outcome::ok);
+  EXPECT_NEAR(share(), 0.33, 0.06) << "half of one within the bound, never more";
+  past(Outcome::miss);
+  EXPECT_NEAR(share(), 0.048, 0.02);
+  past(Outcome::ok);
+  s.checks = StaleCheck::none;  // where it would answer whatever it holds, it gets nothing
+  Bench unchecked(s);
+  unchecked.report(1, unchecked.now, true), unchecked.report(2, unchecked.now - 100ms, false);
+  unchecked.report(3, unchecked.now - 1500ms, false);
+  EXPECT_EQ(unchecked.spread(bounded, 500)[3], 0);
+}
+
 TEST(Fallback, CheckingSitesTryTheMostAdvancedWhenNoneQualifies) {
   auto s = make_settings();
   s.checks = StaleCheck::wait;
