Of replicas all past the bound those level when heard are drawn, while such reads are answered

Cause: with none believed within the bound, choose() takes the most advanced by known position, which is the one heard last: each of 300 gateways stays with one replica of a group. Change: while most reads past the bound are answered (PastShare at half of its most), the most advanced is judged by how far behind each was when heard and those level within a quarter of the bound are drawn; otherwise by position, as before.

--- a/src/fleet/lag_steps.h
+++ b/src/fleet/lag_steps.h
@@ -6,11 +6,30 @@
 #pragma once
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "cedarring/router.h"
 
 namespace cedarring::fleet {
 
+/// How far behind a replica is believed to be that was `lag` behind when it was last heard, `age` ago. What it did
+/// since nobody knows: with trust it has kept up, without it has stood still, as by its known position alone.
+/// Replicas heard at different times cannot be told apart otherwise: the one heard last would always be the most
+/// advanced, and each of many gateways would stay with one.
+[[nodiscard]] inline Duration believed_lag(Duration lag, Duration age, bool trust) {
+  return trust ? lag : lag + age;
+}
+
+/// Leaves of the candidates the most advanced, and those that are level with it within `level`.
+template <class Candidate, class Lag>
+void keep_most_advanced(std::vector<std::pair<Candidate*, double>>& from, Duration level, const Lag& lag) {
+  auto least = Duration::max();
+  for (const auto& [c, w] : from) least = std::min(least, lag(*c));
+  from.erase(std::remove_if(from.begin(), from.end(), [&](const auto& f) { return lag(*f.first) - level > least; }),
+             from.end());
+}
+
 /// Up to the bound: full weight under half of it, half from there.
 [[nodiscard]] inline double lag_step(Duration lag, Duration bound) { return lag < bound / 2 ? 1 : 0.5; }
 
@@ -30,6 +49,10 @@
     const double both = group.answered_ * all.answered_;
     return std::max(least, most * both * both * both * both);
   }
+  /// Whether such replicas are to be trusted to have kept up: the share is at half of its most at least.
+  [[nodiscard]] static bool trust(const PastShare& group, const PastShare& all) {
+    return weight(group, all) >= most / 2;
+  }
 
  private:
   static constexpr double gain = 0.1;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -510,10 +510,10 @@
           break;
         }
         if (!eligible.empty() && !busy) {  // only where replicas check reads: the most advanced first
-          Host* h = std::max_element(eligible.begin(), eligible.end(), [](const auto& a, const auto& b) {
-                      return a.first->position < b.first->position;
-                    })->first;
-          if (cold_turn(r, *h, 1, true)) return h;
+          const bool trust = fleet::PastShare::trust(g.past, past_);
+          const auto level = trust ? c.bound / 4 : Duration::zero();
+          fleet::keep_most_advanced(eligible, level, [&](const Host& h) { return h.lag(now_, trust); });
+          if (Host* h = warm_draw(r, eligible)) return h;
         }
         if (careful && (busy || (top && healthy(*top))))
           break;  // full is no reason to try the sick (ib4e6e7)
--- a/src/router/state.h
+++ b/src/router/state.h
@@ -71,6 +71,10 @@
   double phase = 1;  // spreads probes within their period
   Time last_probe = never;
   std::multiset<Time> out;  // when each attempt in flight was sent
+  /// How far behind it is believed to be, see fleet::believed_lag.
+  Duration lag(Time now, bool trust) const {
+    return position == never ? forever : fleet::believed_lag(position_at - position, now - position_at, trust);
+  }
   int in_flight() const { return static_cast<int>(out.size()); }
   void settled(Time sent) {  // one of those in flight has been answered, or has ended
     if (const auto it = out.find(sent); it != out.end()) out.erase(it);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -327,6 +327,38 @@
   EXPECT_EQ(b.last_host[b.ask(bounded)], 3U);
 }
 
+/// Of replicas heard at different times the last one heard would always seem the most advanced: each of many routers
+/// would stay with one. Where reads past the bound are answered, what counts is how far behind each was when heard.
+TEST(Fallback, AmongReplicasHeardLongAgoThoseThatWereLevelAreDrawn) {
+  auto s = make_settings();
+  s.checks = StaleCheck::refuse;
+  Bench b(s, 4);
+  const auto hear = [&] {
+    b.report(1, b.now, true);
+    for (const std::uint32_t h : {2, 3}) b.report(h, b.now - 10ms, false), b.now += 20ms;
+    b.report(4, b.now - 900ms, false);  // behind, though heard last
+    b.now += 1100ms;                    // all are past the bound
+  };
+  hear();
+  auto to = b.spread(bounded, 300);
+  EXPECT_EQ(to[3], 300) << "nothing says that they have kept up: by position";
+  for (int i = 0; i < 60; ++i) {
+    const auto r = b.ask(bounded);
+    b.now += 100ms;  // a usual answer, so that no speed sets it apart
+    b.end(r, Outcome::ok, Note{Role::replica, {}});
+  }
+  to = b.spread(bounded, 1000);
+  EXPECT_GT(to[2], 300);
+  EXPECT_GT(to[3], 300);
+  EXPECT_EQ(to[2] + to[3], 1000) << "not the one that was behind";
+  for (int i = 0; i < 12; ++i) {
+    const auto r = b.ask(bounded);
+    b.end(r, Outcome::miss, Note{Role::replica, {}});
+    b.end(r, Outcome::ok, Note{Role::primary, {}});
+  }
+  EXPECT_EQ(b.spread(bounded, 300)[3], 300) << "turned away: by position again";
+}
+
 // ---- the primary --------------------------------------------------------------------------------
 
 TEST(Primary, NewestEvidenceWinsByWhenItWasTrue) {
