Rig: one place writes the head of a list's chunk; a copy that nobody read is gone

Found on reading the change again: DiscoveryLink::tell and tear wrote the same chunk head, and HostLink::answer kept a copy of the request's name that nothing used. Behaviour is the same; RigRules.* and Rig.APrimaryIsLost... pass under sanitizers.

--- a/src/tools/rig/links.cpp
+++ b/src/tools/rig/links.cpp
@@ -16,6 +16,12 @@
 constexpr double late_share = 0.34;                 // of the connections, where some come up late
 
 double draw(lab::Random& r) { return static_cast<double>(r() >> 11U) * 0x1p-53; }
+/// Of the chunk that a list is told in, with the line's end behind it.
+std::string chunk_head(const std::string& list) {
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", list.size() + 1);
+  return size;
+}
 Duration part_of(Duration d, double share) {
   return Duration(static_cast<std::int64_t>(static_cast<double>(d.count()) * share));
 }
@@ -256,7 +262,6 @@
   const auto it = rig_.tries_.find(request_);
   const auto& h = rig_.hosts_[static_cast<std::size_t>(host_)];
   const bool spoils = outcome == Outcome::ok && h.spoil > 0 && draw(rig_.draws_) < h.spoil;
-  const auto request = request_;
   const bool write = it != rig_.tries_.end() &&
                      rig_.s_.classes[it->second.request->cls].contract.freshness == Freshness::write;
   switch (outcome) {
@@ -356,9 +361,7 @@
 bool DiscoveryLink::tell(const std::string& list) {
   if (closed() || !watching_) return false;
   if (mute_) return rig_.timeline_.now() >= *mute_ + missed_counts_after;
-  char size[20];
-  std::snprintf(size, sizeof size, "%zx\r\n", list.size() + 1);
-  write(size + list + "\n\r\n");
+  write(chunk_head(list) + list + "\n\r\n");
   return true;
 }
 
@@ -372,9 +375,7 @@
 void DiscoveryLink::tear() {
   if (closed() || !watching_) return;
   const auto list = rig_.list_for(gateway_);
-  char size[20];
-  std::snprintf(size, sizeof size, "%zx\r\n", list.size() + 1);
-  write(size + list.substr(0, list.size() / 2));
+  write(chunk_head(list) + list.substr(0, list.size() / 2));
   drop(gateway_ % 2 == 0);
 }
 
