Upgrades: read the packets of an ended process although it left others unread

Callers: a client handed over during an upgrade lost its connection, or the process that took over lost the counts of contracts, when the old process ended at that moment.

Cause: the two processes' link is a SOCK_SEQPACKET socket. If the old process ends while a packet of the new one (commit, hosts, role) lies unread in its queue, the kernel reports ECONNRESET to the new process before the packets still queued there. HandoverLink::on_ready took the error for the end, closed the link, and the descriptors in the unread 'client' packets were closed.

Fix: the error is reported once, so receive_packet reads again: the queued packets come, then the end.

--- a/src/wire/handover.cpp
+++ b/src/wire/handover.cpp
@@ -58,7 +58,11 @@
   message.msg_iovlen = 1;
   message.msg_control = control;
   message.msg_controllen = sizeof control;
-  const auto received = ::recvmsg(fd, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+  auto received = ::recvmsg(fd, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+  // The other process has ended and has left packets unread. This error comes once, before the packets that
+  // it has sent and that are still queued here.
+  if (received < 0 && errno == ECONNRESET)
+    received = ::recvmsg(fd, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
   if (received <= 0) return static_cast<int>(received);
   std::vector<Fd> fds;
   for (auto* header = CMSG_FIRSTHDR(&message); header; header = CMSG_NXTHDR(&message, header)) {
