Upgrades: a successor told to end before it serves leaves the clients alone

Callers: SIGTERM to a new process that was still starting closed the idle clients of the process that served.

Cause: on_stop_signal started the usual 0.5 s of service before the drain; if the host list or the budgets came in that time, the process took over all idle clients and closed them at the end of the 0.5 s.

Evidence: Upgrade.ProcessThatIsToldToEndBeforeItServes... sends SIGTERM and lets the list come after it.

Fix: a successor that does not serve yet ends the loop at once; its predecessor sees the end of the link and goes on.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -476,6 +476,7 @@
 }
 
 void Gateway::serve() {
+  serving_ = true;
   awaits_budgets_ = false;
   budgets_timer_.stop();
   for (auto& service : services_) service->start_accepting();
@@ -688,8 +689,9 @@
 }
 
 /// New clients are accepted for serve_after_term_s longer, since load balancers have not noticed the signal
-/// yet.
+/// yet. A successor that does not serve yet ends at once and leaves the clients to its predecessor.
 void Gateway::on_stop_signal(ev::sig&, int) {
+  if (is_successor_ && !serving_) return loop_.break_loop(ev::ALL);
   if (!shutdown_timer_.is_active()) {
     Duration longest_deadline{};
     for (const auto& service : services_)
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -121,6 +121,7 @@
   ev::tstamp started_at_;
   std::unique_ptr<wire::HandoverListener> handover_listener_;  // where a successor connects
   std::unique_ptr<wire::HandoverLink> link_;                   // to the other process, while there is one
+  bool serving_ = false;                                       // clients have been accepted
   bool is_successor_ = false;      // this is the successor, and the predecessor has not ended
   bool handing_over_ = false;      // this is the predecessor, and the successor serves
   bool budgets_split_ = false;     // this is the predecessor, and budgets are divided
