Upgrades: a third process waits for its handover instead of serving as a stranger

Callers: with two upgrades within some seconds, or beside a busy old process, idle clients lost their connection at the SIGTERM of the process that served, and two processes spent full budgets side by side.

The third one started as if nobody served.

A waiting process asks again where the link ends, for 15 s in all, then ends with one line and exit code 1; SIGTERM ends it with 0. The second process asks the first one to leave as soon as it has no clients ('leave'). The first packet and each further one may take 3 s. The name is replaced by rename. Older builds ignore 'leave'; a newer process that an older one turns away asks again.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "app/pending_signals.h"
 #include "handover/json_archive.h"
 #include "handover/snapshot_fields.h"
 #include "wire/mysql_client.h"
@@ -21,8 +22,9 @@
 
 // Times in seconds.
 
-/// How long the start may wait for the predecessor to send the complete handover.
-constexpr double handover_timeout_s = 1;
+/// Limits on the wait for the handover at the start: until the first packet, between two packets, in all. A
+/// predecessor ends leave_after_s after its successor serves, once its requests are answered.
+constexpr wire::HandoverTimeouts handover_timeouts{3, 3, 15};
 /// How long a predecessor runs once its successor serves; then it drains and exits by itself.
 constexpr double leave_after_s = 10;
 /// The interval at which a starting process checks whether it may serve.
@@ -81,6 +83,7 @@
       reaper_(loop),
       max_buffer_bytes_((config.memory_mb << 20U) / 2),
       started_at_(loop.now()),
+      waiting_successors_(loop),
       serving_timer_(loop),
       handover_drain_timer_(loop),
       budgets_timer_(loop),
@@ -91,7 +94,8 @@
       hup_signal_(loop),
       drain_timer_(loop),
       shutdown_timer_(loop),
-      empty_check_(loop) {
+      empty_check_(loop),
+      leave_check_(loop) {
   term_signal_.set<Gateway, &Gateway::on_stop_signal>(this);
   int_signal_.set<Gateway, &Gateway::on_stop_signal>(this);
   term_signal_.start(SIGTERM);
@@ -103,6 +107,7 @@
   drain_timer_.set<Gateway, &Gateway::on_drain_timer>(this);
   shutdown_timer_.set<Gateway, &Gateway::on_shutdown_timer>(this);
   empty_check_.set<Gateway, &Gateway::check_empty>(this);
+  leave_check_.set<Gateway, &Gateway::check_empty>(this);
   serving_timer_.set<Gateway, &Gateway::try_serving>(this);
   handover_drain_timer_.set<Gateway, &Gateway::on_drain_timer>(this);
   budgets_timer_.set<Gateway, &Gateway::on_budgets_timeout>(this);
@@ -123,7 +128,7 @@
   if (const char* dir = std::getenv("TMPDIR"); dir && *dir && !config.control.empty()) {
     handover_dir_ = dir;
     handover_name_ = handover_name(config);
-    predecessor = wire::receive_handover(handover_dir_, handover_name_, handover_timeout_s);
+    predecessor = request_handover();
     if (predecessor) state = parse_services(predecessor->state);
     if (!state) predecessor.reset();
   }
@@ -178,6 +183,31 @@
   for (const auto& warning : config.warnings) log_.write(telemetry::Level::warning, "configuration", warning);
 }
 
+std::optional<wire::ReceivedHandover> Gateway::request_handover() const {
+  const PendingStopSignals stop_signals;
+  auto result = wire::receive_handover(
+      handover_dir_, handover_name_, handover_timeouts,
+      {[&] { return stop_signals.arrived(); },
+       [] { std::cout << "waiting for the handover of the process that serves" << std::endl; }});
+  switch (result.status) {
+    case wire::HandoverStatus::complete:
+      return std::move(result.handover);
+    case wire::HandoverStatus::no_predecessor:
+      return std::nullopt;
+    case wire::HandoverStatus::unusable:
+      std::cout << "the process that serves gives no usable handover: starting without its state"
+                << std::endl;
+      return std::nullopt;
+    case wire::HandoverStatus::cancelled:
+      throw StartCancelled("told to end before the handover: the process that serves is unaffected");
+    case wire::HandoverStatus::still_busy:
+      break;
+  }
+  throw HandoverUnavailable(
+      "another upgrade of this gateway has not finished: the process that serves is unaffected; end the "
+      "process that it has replaced, or the one that does not become ready, then start again");
+}
+
 void Gateway::run() {
   static constexpr const char* fronts[] = {"postgresql", "mysql"};
   if (control_) std::cout << "listening control " << control_->address() << std::endl;
@@ -541,11 +571,17 @@
         [this](wire::Fd link) { on_successor_connected(std::move(link)); });
 }
 
-/// A successor requests the handover. It replaces an earlier successor that has requested the handover but
-/// does not serve yet, which may be hung.
+/// A successor requests the handover. Only one other process at a time shares the budgets, so it waits until
+/// the predecessor, or a successor that connected before and does not serve yet, has ended.
 void Gateway::on_successor_connected(wire::Fd link) {
-  if (handing_over_ || is_successor_) return;
   ended_links_.clear();
+  if (handing_over_) return;  // closes the link: the name of the socket belongs to the successor
+  if (!link_) return begin_handover(std::move(link));
+  waiting_successors_.add(std::move(link));
+  if (is_successor_) link_->send("leave");
+}
+
+void Gateway::begin_handover(wire::Fd link) {
   if (std::exchange(budgets_split_, false))
     for (auto& service : services_) service->resume_full_spending();
   known_ejections_.clear();
@@ -631,6 +667,7 @@
     handing_over_ = true;
     serving_timer_.stop();
     handover_listener_.reset();  // the socket's name belongs to the successor now
+    waiting_successors_.clear();
     admin_.reset();
     for (auto& service : services_)
       service->start_handover([this, front = service->front()](int fd, const std::string& state) {
@@ -641,6 +678,8 @@
     link_->send("stopped", std::to_string(remaining_clients));
     handover_drain_timer_.start(leave_after_s);
     std::cout << "replaced by a new process: this process hands its clients over, then ends" << std::endl;
+  } else if (packet.kind == "leave" && handing_over_) {
+    leave_check_.start();
   } else if (packet.kind == "client" && packet.fds.size() == 1) {
     if (auto* service = find_service(word); service && has_rest)
       service->adopt(std::move(packet.fds[0]), rest);
@@ -662,14 +701,7 @@
   // Not freed here, since its callback is still running.
   auto link = std::shared_ptr<wire::HandoverLink>(std::move(link_));
   ended_links_.push_back(std::move(link));
-  if (handing_over_ && !empty_check_.is_active()) {
-    handing_over_ = false;
-    handover_drain_timer_.stop();
-    for (auto& service : services_) service->cancel_handover();
-    open_admin_socket();
-    listen_for_successor();
-    std::cout << "the new process has ended: this process accepts clients again" << std::endl;
-  }
+  if (handing_over_) take_back_clients();
   if (is_successor_) open_admin_socket();
   if (is_successor_ || budgets_split_)
     for (auto& service : services_) service->resume_full_spending();
@@ -681,6 +713,22 @@
   if (awaits_budgets_ && budgets_timer_.is_active()) serve();
   wire::RingBuffer::set_total_limit(max_buffer_bytes_);
   for (auto& service : services_) service->set_resources(total_resources_of(*service));
+  if (empty_check_.is_active()) return;
+  if (auto next = waiting_successors_.take()) begin_handover(std::move(*next));
+}
+
+void Gateway::take_back_clients() {
+  handing_over_ = false;
+  leave_check_.stop();
+  handover_drain_timer_.stop();
+  for (auto& service : services_) service->cancel_handover();
+  if (empty_check_.is_active()) {
+    for (auto& service : services_) service->drain();
+    return;
+  }
+  open_admin_socket();
+  listen_for_successor();
+  std::cout << "the new process has ended: this process accepts clients again" << std::endl;
 }
 
 bool Gateway::no_clients_left() const {
@@ -711,6 +759,8 @@
 void Gateway::on_drain_timer(ev::timer&, int) {
   if (empty_check_.is_active()) return;
   serving_timer_.stop();
+  handover_listener_.reset();
+  waiting_successors_.clear();
   for (auto& service : services_) service->drain();
   empty_check_.start();
   if (no_clients_left()) loop_.break_loop(ev::ALL);
--- a/src/app/gateway.h
+++ b/src/app/gateway.h
@@ -5,12 +5,14 @@
 
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "app/clock.h"
 #include "app/config.h"
 #include "app/service.h"
+#include "app/successor_queue.h"
 #include "telemetry/log.h"
 #include "wire/admin.h"
 #include "wire/control_endpoint.h"
@@ -18,12 +20,21 @@
 
 namespace cedarring::app {
 
+/// The start has been cancelled by SIGTERM or SIGINT.
+struct StartCancelled : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+/// Another process serves, and its handover has not begun in time.
+struct HandoverUnavailable : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 /// One gateway process. During an upgrade two processes of a gateway run: the predecessor, which serves, and
 /// the successor, which takes over its listeners, clients and state through a HandoverLink.
 class Gateway {
  public:
   /// `file`: the gateway file named on the command line, for reloads; empty: the default one. Throws
-  /// ConfigError or std::system_error.
+  /// ConfigError, std::system_error, StartCancelled or HandoverUnavailable.
   Gateway(ev::loop_ref loop, const Config& config, std::string file = "");
   /// Serves until the shutdown after SIGTERM or SIGINT is complete.
   void run();
@@ -46,7 +57,7 @@
   /// Switches the log lines of finished requests, with their results and attempts, on at log level `debug`,
   /// else off.
   void update_request_traces();
-  /// While draining, ends the loop as soon as the last client has been answered and has left.
+  /// While draining or leaving, ends the loop as soon as the last client has been answered and has left.
   void check_empty(ev::prepare&, int);
   /// Whether no service has a connected client.
   [[nodiscard]] bool no_clients_left() const;
@@ -75,6 +86,8 @@
   std::string metrics();
 
   // Upgrades.
+  /// Requests the handover of the process that serves, if any. Blocks until it is complete.
+  std::optional<wire::ReceivedHandover> request_handover() const;
   void start_as_successor(wire::Fd link);
   /// Runs repeatedly until serving starts: once all services may start, serves, or first requests the
   /// predecessor's share of the budgets.
@@ -93,6 +106,10 @@
   void log_unreadable(const std::string& front, const std::vector<std::string>& sections);
   void listen_for_successor();
   void on_successor_connected(wire::Fd link);
+  /// Sends the handover to a successor.
+  void begin_handover(wire::Fd link);
+  /// The successor has ended: accepts clients again, or, while draining, closes those that are left.
+  void take_back_clients();
   void on_packet(wire::Packet packet);
   void on_peer_end();
   /// Sets the limits on memory and connections of this process beside the other process. `outgoing`: this is
@@ -121,7 +138,8 @@
   ev::tstamp started_at_;
   std::unique_ptr<wire::HandoverListener> handover_listener_;  // where a successor connects
   std::unique_ptr<wire::HandoverLink> link_;                   // to the other process, while there is one
-  bool serving_ = false;                                       // clients have been accepted
+  SuccessorQueue waiting_successors_;
+  bool serving_ = false;           // clients have been accepted
   bool is_successor_ = false;      // this is the successor, and the predecessor has not ended
   bool handing_over_ = false;      // this is the predecessor, and the successor serves
   bool budgets_split_ = false;     // this is the predecessor, and budgets are divided
@@ -143,6 +161,7 @@
   ev::timer drain_timer_;     // after SIGTERM: stops accepting clients
   ev::timer shutdown_timer_;  // after SIGTERM: ends pending requests
   ev::prepare empty_check_;   // active while draining
+  ev::prepare leave_check_;   // active once the successor has asked this predecessor to leave
 };
 
 }  // namespace cedarring::app
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,7 +20,9 @@
 /// Runs the gateway until SIGTERM; `file`: the gateway file, empty: the default one.
 int serve(const std::string& file) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until the gateway handles it
+  // Until the gateway handles them:
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGUSR1, SIG_IGN);
   ev::default_loop loop;
   cedarring::app::Gateway gateway(loop, cedarring::app::load_config(false, file), file);
   gateway.run();
@@ -109,6 +111,9 @@
     }
     if (check_command->parsed()) return check(checked_file);
     return serve(file);
+  } catch (const cedarring::app::StartCancelled& e) {
+    std::cout << "cedarring: " << e.what() << std::endl;
+    return 0;
   } catch (const std::exception& e) {
     std::cerr << "cedarring: " << e.what() << '\n';
     return 1;
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -363,7 +363,7 @@
   transfer_ = nullptr;
   sweep_timer_.stop();
   sweep_timer_.start(sweep_interval_s, sweep_interval_s);
-  accept_watcher_.start(listener_.get(), ev::READ);
+  start_accepting();
 }
 
 /// Transfers the clients that are between two commands, and closes those that cannot be transferred.
--- a/src/wire/handover.cpp
+++ b/src/wire/handover.cpp
@@ -8,9 +8,11 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstring>
+#include <utility>
 
 namespace cedarring::wire {
 namespace {
@@ -173,14 +175,21 @@
 std::unique_ptr<HandoverListener> HandoverListener::open(ev::loop_ref loop, const std::string& dir,
                                                          const std::string& name,
                                                          OnConnection on_connection) {
-  const SocketAddress location(dir, name);
+  const auto new_name = name + '.' + std::to_string(::getpid());
+  const SocketAddress location(dir, new_name);
+  const int dir_fd = location.dir.get();
   Fd fd = packet_socket();
-  if (location.dir.get() < 0 || fd.get() < 0) return nullptr;
-  ::unlinkat(location.dir.get(), name.c_str(), 0);
+  if (dir_fd < 0 || fd.get() < 0) return nullptr;
+  ::unlinkat(dir_fd, new_name.c_str(), 0);
   const auto mask = ::umask(owner_only_mask);
   const bool bound = ::bind(fd.get(), location.get(), sizeof location.address) == 0;
   ::umask(mask);
-  if (!bound || ::listen(fd.get(), listen_backlog) != 0) return nullptr;
+  if (!bound) return nullptr;
+  if (::listen(fd.get(), listen_backlog) != 0 ||
+      ::renameat(dir_fd, new_name.c_str(), dir_fd, name.c_str()) != 0) {
+    ::unlinkat(dir_fd, new_name.c_str(), 0);
+    return nullptr;
+  }
   return std::make_unique<HandoverListener>(loop, std::move(fd), std::move(on_connection));
 }
 
@@ -195,35 +204,136 @@
   if (fd.get() >= 0) on_connection_(std::move(fd));
 }
 
-std::optional<ReceivedHandover> receive_handover(const std::string& dir, const std::string& name,
-                                                 double timeout_s) {
-  const SocketAddress location(dir, name);
-  ReceivedHandover handover;
-  handover.link = packet_socket();
-  if (location.dir.get() < 0 || handover.link.get() < 0) return std::nullopt;
-  if (::connect(handover.link.get(), location.get(), sizeof location.address) != 0) return std::nullopt;
-  const auto deadline = std::chrono::steady_clock::now() + std::chrono::duration<double>(timeout_s);
+bool send_wait(const Fd& link) {
+  const auto bytes = encode_packet("wait", "");
+  return ::send(link.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) >= 0 ||
+         errno == EAGAIN || errno == EWOULDBLOCK;
+}
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+/// How often the caller of receive_handover() may cancel it.
+constexpr std::chrono::milliseconds cancel_check_interval{50};
+/// Between two connects to a process that has ended the link.
+constexpr std::chrono::milliseconds reconnect_interval{20};
+/// How long a process that was waited for, and has ended, may leave the name without a listener: the process
+/// that it had replaced, if one still runs, listens there again.
+constexpr std::chrono::seconds relisten_timeout{1};
+
+SteadyClock::duration to_duration(double seconds) {
+  return std::chrono::duration_cast<SteadyClock::duration>(std::chrono::duration<double>(seconds));
+}
+
+/// Requests a handover until it is complete or no process can give one.
+class HandoverRequest {
+ public:
+  HandoverRequest(const std::string& dir, const std::string& name, const HandoverTimeouts& timeouts,
+                  const HandoverCallbacks& callbacks)
+      : location_(dir, name),
+        timeouts_(timeouts),
+        callbacks_(callbacks),
+        deadline_(SteadyClock::now() + to_duration(timeouts.total_s)) {}
+  HandoverResult run();
+
+ private:
+  /// How one connection to a process has ended.
+  enum class End { complete, refused, closed, silent, invalid, cancelled, late };
+  /// Connects and receives packets until the handover is complete or the connection ends.
+  End receive();
+  /// Waits for a packet; returns End::complete once there is one.
+  End wait_readable(SteadyClock::time_point silence_deadline);
+  /// Adds the packet to the handover; false if it is invalid.
+  bool add(Packet packet);
+  void report_waiting();
+
+  SocketAddress location_;
+  const HandoverTimeouts& timeouts_;
+  const HandoverCallbacks& callbacks_;
+  SteadyClock::time_point deadline_;
+  ReceivedHandover handover_;
+  bool complete_ = false;
+  bool waiting_reported_ = false;
+};
+
+void HandoverRequest::report_waiting() {
+  if (!std::exchange(waiting_reported_, true)) callbacks_.on_waiting();
+}
+
+HandoverRequest::End HandoverRequest::wait_readable(SteadyClock::time_point silence_deadline) {
   for (;;) {
-    const auto remaining_ms =
-        std::chrono::duration<double, std::milli>(deadline - std::chrono::steady_clock::now()).count();
-    pollfd descriptor{handover.link.get(), POLLIN, 0};
-    if (remaining_ms <= 0 || ::poll(&descriptor, 1, static_cast<int>(remaining_ms) + 1) <= 0)
-      return std::nullopt;
+    if (callbacks_.is_cancelled()) return End::cancelled;
+    const auto now = SteadyClock::now();
+    if (now >= deadline_) return End::late;
+    if (now >= silence_deadline) return End::silent;
+    const auto until = std::min({deadline_, silence_deadline, now + cancel_check_interval});
+    const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(until - now);
+    pollfd descriptor{handover_.link.get(), POLLIN, 0};
+    const int ready = ::poll(&descriptor, 1, static_cast<int>(timeout.count()));
+    if (ready > 0) return End::complete;
+    if (ready < 0 && errno != EINTR) return End::silent;
+  }
+}
+
+bool HandoverRequest::add(Packet packet) {
+  if (packet.kind == "wait") {
+    report_waiting();
+  } else if (packet.kind == "listener" && packet.fds.size() == 1) {
+    handover_.listeners.emplace_back(packet.text, std::move(packet.fds[0]));
+  } else if (packet.kind == "state") {
+    handover_.state += packet.text;
+    return handover_.state.size() <= max_link_bytes;
+  } else if (packet.kind == "whole") {
+    complete_ = true;
+  } else {
+    return false;  // invalid, or of a kind that this build does not know
+  }
+  return true;
+}
+
+HandoverRequest::End HandoverRequest::receive() {
+  handover_ = {};
+  handover_.link = packet_socket();
+  if (location_.dir.get() < 0 || handover_.link.get() < 0) return End::refused;
+  if (::connect(handover_.link.get(), location_.get(), sizeof location_.address) != 0)
+    return errno == EAGAIN || errno == EINTR ? End::closed : End::refused;
+  auto silence_deadline = SteadyClock::now() + to_duration(timeouts_.first_packet_s);
+  while (!complete_) {
+    if (const auto end = wait_readable(silence_deadline); end != End::complete) return end;
     Packet packet;
-    const int status = receive_packet(handover.link.get(), packet);
+    const int status = receive_packet(handover_.link.get(), packet);
     if (status < 0 && (errno == EAGAIN || errno == EINTR)) continue;
-    if (status <= 0) return std::nullopt;
-    if (packet.kind == "listener" && packet.fds.size() == 1) {
-      handover.listeners.emplace_back(packet.text, std::move(packet.fds[0]));
-    } else if (packet.kind == "state") {
-      handover.state += packet.text;
-      if (handover.state.size() > max_link_bytes) return std::nullopt;
-    } else if (packet.kind == "whole") {
-      return handover;
-    } else {
-      return std::nullopt;  // invalid, or of a kind that this build does not know
-    }
+    if (status <= 0) return End::closed;
+    if (!add(std::move(packet))) return End::invalid;
+    silence_deadline = SteadyClock::now() + to_duration(timeouts_.silence_s);
   }
+  return End::complete;
+}
+
+HandoverResult HandoverRequest::run() {
+  std::optional<SteadyClock::time_point> closed_at;  // when a process last ended the link
+  for (;;) {
+    const auto end = receive();
+    if (end == End::complete) return {HandoverStatus::complete, std::move(handover_)};
+    if (end == End::cancelled) return {HandoverStatus::cancelled, {}};
+    if (end == End::late) return {HandoverStatus::still_busy, {}};
+    if (end == End::silent || end == End::invalid) return {HandoverStatus::unusable, {}};
+    const auto now = SteadyClock::now();
+    if (end == End::closed) closed_at = now;
+    if (!closed_at || now >= *closed_at + relisten_timeout) return {};
+    if (now >= deadline_) return {HandoverStatus::still_busy, {}};
+    if (callbacks_.is_cancelled()) return {HandoverStatus::cancelled, {}};
+    report_waiting();
+    ::poll(nullptr, 0, static_cast<int>(reconnect_interval.count()));
+  }
+}
+
+}  // namespace
+
+HandoverResult receive_handover(const std::string& dir, const std::string& name,
+                                const HandoverTimeouts& timeouts, const HandoverCallbacks& callbacks) {
+  return HandoverRequest(dir, name, timeouts, callbacks).run();
 }
 
 }  // namespace cedarring::wire
--- a/src/wire/handover.h
+++ b/src/wire/handover.h
@@ -26,6 +26,9 @@
 ///   - "listener": a front end, with its listener as descriptor; or, with " updates" behind the name, the
 ///     socket that receives its DNS updates.
 ///   - "state": a part of the JSON state.
+///   - "wait": no text; the sender is alive, but the handover begins later, since another one is running.
+///   Sent
+///     repeatedly, before the first "listener".
 ///   - "whole": no text; the state is complete.
 ///   - "parts": a part of the sections that the next "yes" or "booked" completes.
 ///   - "yes": no text; answers "ready". The sections sent hold the new process's share of the budgets.
@@ -36,6 +39,8 @@
 /// - From the new process:
 ///   - "ready": no text; requests its share of the budgets.
 ///   - "serving": no text; the sender accepts clients.
+///   - "leave": no text; another successor waits for the sender, so the receiver is to end as soon as its
+///     requests have been answered.
 /// - From either:
 ///   - "commit": a front end and the position of a session.
 ///   - "hosts": a front end and the ejected hosts.
@@ -87,8 +92,8 @@
  public:
   /// Takes the connection of a successor.
   using OnConnection = std::function<void(Fd)>;
-  /// Listens at `dir`/`name`, replacing any previous socket there. Null if no Unix socket can be opened
-  /// there.
+  /// Listens at `dir`/`name`, replacing any previous socket there in one step, so that at each moment a
+  /// process listens there. Null if no Unix socket can be opened there.
   static std::unique_ptr<HandoverListener> open(ev::loop_ref loop, const std::string& dir,
                                                 const std::string& name, OnConnection on_connection);
   HandoverListener(ev::loop_ref loop, Fd listener, OnConnection on_connection);
@@ -104,12 +109,37 @@
 struct ReceivedHandover {
   std::vector<std::pair<std::string, Fd>> listeners;  // with the texts of their "listener" packets
   std::string state;                                  // JSON
-  Fd link;                                            // stays open for a HandoverLink
+  Fd link = Fd();                                     // stays open for a HandoverLink
 };
-/// Connects to the process that listens at `dir`/`name` and receives its handover. Blocks. Nothing if no
-/// process listens, if it sends anything invalid, or if the handover is not complete within `timeout_s`
-/// seconds.
-std::optional<ReceivedHandover> receive_handover(const std::string& dir, const std::string& name,
-                                                 double timeout_s);
+/// Tells a waiting successor that its handover comes later; false if it has closed the link.
+bool send_wait(const Fd& link);
+
+/// How the request for a handover has ended.
+enum class HandoverStatus {
+  complete,
+  no_predecessor,  // no process listens
+  unusable,        // a process listens, but sends nothing in time, or nothing valid
+  still_busy,      // a process serves, but its handover has not begun in time
+  cancelled        // by the caller
+};
+struct HandoverResult {
+  HandoverStatus status = HandoverStatus::no_predecessor;
+  ReceivedHandover handover;  // if complete
+};
+/// Limits on receive_handover(), in seconds.
+struct HandoverTimeouts {
+  double first_packet_s = 0;  // from the connect to the first packet
+  double silence_s = 0;       // between two packets
+  double total_s = 0;         // until the handover is complete
+};
+/// What the caller of receive_handover() takes part in while it waits.
+struct HandoverCallbacks {
+  std::function<bool()> is_cancelled;  // whether to give up; called several times a second
+  std::function<void()> on_waiting;    // called once, if the handover does not begin at once
+};
+/// Connects to the process that listens at `dir`/`name` and receives its handover. Blocks. If that process
+/// ends the link or asks to wait, it is asked again, or the process that listens there then.
+HandoverResult receive_handover(const std::string& dir, const std::string& name,
+                                const HandoverTimeouts& timeouts, const HandoverCallbacks& callbacks);
 
 }  // namespace cedarring::wire
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -703,16 +703,6 @@
   std::thread thread_;
 };
 
-/// Path of the handover socket in the directory of a process; empty if there is none.
-std::string handover_socket(const std::string& dir) {
-  auto* directory = ::opendir(dir.c_str());
-  std::string path;
-  while (const auto* entry = ::readdir(directory))
-    if (std::string(entry->d_name).rfind("cedarring-", 0) == 0) path = dir + "/" + entry->d_name;
-  ::closedir(directory);
-  return path;
-}
-
 TEST(Upgrade, NextProcessStartsDespiteAGarbledSilentOrStaleHandoverSocket) {
   Service service;
   const auto path = handover_socket(service.program->dir());
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -542,15 +542,22 @@
   if (!mysql.empty()) std::ofstream(dir_ + "/mysql.json") << mysql;
   if (!gateway.empty()) configure_gateway(gateway);
   start(!mysql.empty(), !gateway.empty());
+  wait_listeners();
 }
 
 GatewayProcess::GatewayProcess(const GatewayProcess& before, const std::string& listen)
     : second_(true), dir_(before.dir_) {
   start(false, before.has_gateway_file_);
+  wait_listeners();
   if (pg_.empty()) pg_ = listen;
 }
+GatewayProcess::GatewayProcess(const GatewayProcess& before, StartInBackground)
+    : second_(true), dir_(before.dir_) {
+  start(false, before.has_gateway_file_);
+}
 
 void GatewayProcess::start(bool mysql, bool gateway) {
+  has_mysql_ = mysql;
   has_gateway_file_ = gateway;
   int ends[2];
   if (pipe(ends) != 0) throw std::runtime_error("pipe failed");
@@ -584,14 +591,28 @@
   posix_spawn_file_actions_destroy(&files);
   if (failed != 0) throw std::runtime_error("cannot start the gateway program");
   ::close(ends[1]);
+}
+
+bool GatewayProcess::wait_listeners() {
   std::string line;
-  while ((mysql ? mysql_ : pg_).empty() && read_line(line)) {
+  const auto& last_announced = has_mysql_ ? mysql_ : pg_;
+  while (last_announced.empty() && read_line(line)) {
     const auto at = line.rfind(' ');
     if (line.rfind("listening postgresql", 0) == 0) pg_ = line.substr(at + 1);
     if (line.rfind("listening control", 0) == 0) control_ = line.substr(at + 1);
     if (line.rfind("listening dns", 0) == 0) dns_ = line.substr(at + 1);
     if (line.rfind("listening mysql", 0) == 0) mysql_ = line.substr(at + 1);
   }
+  return !last_announced.empty();
+}
+
+std::string handover_socket(const std::string& dir) {
+  auto* directory = ::opendir(dir.c_str());
+  std::string path;
+  while (const auto* entry = ::readdir(directory))
+    if (std::string(entry->d_name).rfind("cedarring-", 0) == 0) path = dir + "/" + entry->d_name;
+  ::closedir(directory);
+  return path;
 }
 
 bool GatewayProcess::read_line(std::string& line) {
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -224,6 +224,11 @@
   /// Starts a second process of the same gateway, in the directory of `before`; `listen` is the address of
   /// the PostgreSQL listener if the process announces none.
   explicit GatewayProcess(const GatewayProcess& before, const std::string& listen);
+  /// Tells the constructor not to wait for the listeners: wait_listeners() has to be called.
+  struct StartInBackground {};
+  GatewayProcess(const GatewayProcess& before, StartInBackground);
+  /// Reads output until the process has announced its listeners; false if it ends before.
+  bool wait_listeners();
   ~GatewayProcess();
   /// Addresses of the listeners; empty where there is none.
   [[nodiscard]] const std::string& pg() const { return pg_; }
@@ -253,10 +258,10 @@
 
  private:
   bool read_line(std::string& line);
-  /// Starts the program and reads its output until it has announced its listeners. `mysql` and `gateway`:
-  /// whether it has these files.
+  /// Starts the program. `mysql` and `gateway`: whether it has these files.
   void start(bool mysql, bool gateway);
-  bool second_ = false;  // the directory belongs to another process
+  bool second_ = false;     // the directory belongs to another process
+  bool has_mysql_ = false;  // it has a MySQL configuration file
   bool has_gateway_file_ = false;
   std::string dir_;
   std::string pg_;
@@ -269,6 +274,9 @@
   std::optional<int> status_;  // as wait_exit() returns it
 };
 
+/// Path of the handover socket in the directory of a process; empty if there is none.
+std::string handover_socket(const std::string& dir);
+
 /// A configuration of the gateway with five request classes: reads `view` (bounded), `history` (any) and
 /// `gate` (fresh), writes `bid` (keyed) and `pay` (unsafe). `discovery`: its address. `known`: the member
 /// list to start with. `more` is appended to the settings.
