Long values: a client that reads slowly but steadily is not closed inside a value

Callers: a client that took less than some 130 KB/s of a long value lost its connection inside the value after 10 s, although it read all the time.

Cause: Client::overdue measured progress by the bytes that the kernel takes from the gateway. Its send buffer grows to 4 MiB and asks for more only when a third of it is free, so for such a client nothing moves for over 10 s.

Change: progress is what the client's machine has acknowledged (SIOCOUTQ). The log says at level debug which limit closed a client, after how long.

All checks and the number of 40 stay.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -43,6 +43,10 @@
   upstream_.attach(broker_);
   clients_.set_new_client_callback([this] { divide_connections(); });
   upstream_.set_limit_callback([this] { divide_connections(); });
+  clients_.set_time_limit_callback([this](wire::TimeLimit limit, double waited_s) {
+    log_.write(telemetry::Level::debug, "client", "client closed: a time limit has passed",
+               {{"front", front_}, {"limit", wire::name_of(limit)}, {"waited_s", std::to_string(waited_s)}});
+  });
   if (!config.discovery.empty())
     discovery_.emplace(loop, reaper, config.discovery, known_list_.version,
                        fleet::WatchTiming(config.settings.drain_grace),
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -124,18 +124,44 @@
   if (discarded_bytes_ > max_discarded_bytes) close_and_cancel();
 }
 
-bool Client::overdue(ev::tstamp now) {
+const char* name_of(TimeLimit limit) {
+  switch (limit) {
+    case TimeLimit::none:
+      return "none";
+    case TimeLimit::linger:
+      return "linger";
+    case TimeLimit::first_command_at_drain:
+      return "first_command_at_drain";
+    case TimeLimit::unread_answer:
+      return "unread_answer";
+    case TimeLimit::command:
+      return "command";
+  }
+  return "unknown";
+}
+
+TimeLimit Client::exceeded_limit(ev::tstamp now) {
   const auto waited = now - waiting_since_;
-  if (lingering_) return waited > linger_timeout_s;
-  if (draining_ && !command_received_) return waited > drain_first_command_s;
-  // A long answer may be read slowly: each byte sent restarts the time limit.
-  if (!slots_.empty() && (slots_.front().streaming || !slots_.front().pending) && !out_.empty()) {
-    if (std::exchange(last_bytes_sent_, bytes_sent()) != bytes_sent()) waiting_since_ = now;
-    return now - waiting_since_ > unread_answer_timeout_s;
+  const auto check = [&](TimeLimit limit, double allowed_s) {
+    return waited > allowed_s ? limit : TimeLimit::none;
+  };
+  if (lingering_) return check(TimeLimit::linger, linger_timeout_s);
+  if (draining_ && !command_received_) return check(TimeLimit::first_command_at_drain, drain_first_command_s);
+  const bool sends_answer =
+      slots_.empty() ? !reading_paused() : slots_.front().streaming || !slots_.front().pending;
+  if (sends_answer && !out_.empty()) {
+    // A long answer may be read slowly: each byte that the client takes restarts the time limit.
+    const auto received = bytes_received_by_peer();
+    if (std::exchange(last_bytes_received_by_peer_, received) != received) {
+      waiting_since_ = now;
+      return TimeLimit::none;
+    }
+    return check(TimeLimit::unread_answer, unread_answer_timeout_s);
   }
-  if (!slots_.empty() || reading_paused()) return false;  // the client waits for a host or for memory
-  if (!out_.empty()) return waited > unread_answer_timeout_s;
-  return (!command_received_ || partial_command_) && waited > command_timeout_s;
+  // The client waits for a host or for memory.
+  if (!slots_.empty() || reading_paused()) return TimeLimit::none;
+  if (command_received_ && !partial_command_) return TimeLimit::none;
+  return check(TimeLimit::command, command_timeout_s);
 }
 
 bool Client::evictable(ev::tstamp now) const {
@@ -408,8 +434,12 @@
 /// Closes clients that have exceeded a time limit or disconnected, then transfers or retires idle ones.
 void ClientSet::sweep(ev::timer&, int) {
   std::vector<Client*> expired;
-  for (const auto& [key, client] : clients_)
-    if (client->overdue(loop_.now()) || client->closed_unnoticed()) expired.push_back(key);
+  for (const auto& [key, client] : clients_) {
+    const auto waiting_since = client->waiting_since();
+    const auto limit = client->exceeded_limit(loop_.now());
+    if (limit != TimeLimit::none && on_time_limit_) on_time_limit_(limit, loop_.now() - waiting_since);
+    if (limit != TimeLimit::none || client->closed_unnoticed()) expired.push_back(key);
+  }
   for (auto* client : expired) client->close_and_cancel();
   Connection::resume_after_memory_shortage();
   if (transfer_) return transfer_idle();
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -18,6 +18,13 @@
 
 class ClientSet;
 
+/// A time limit on a client connection. `linger`: after the final reply; `first_command_at_drain`: until the
+/// first command of a client that connected just before a shutdown; `unread_answer`: without reading any of
+/// an answer; `command`: until a command is complete.
+enum class TimeLimit { none, linger, first_command_at_drain, unread_answer, command };
+/// The name of a time limit in the log.
+const char* name_of(TimeLimit limit);
+
 /// The error message of a refusal: which component refused the request and why, named as in records and
 /// reports.
 std::string refusal_text(const gates::Verdict& verdict);
@@ -42,9 +49,8 @@
   void on_memory_available();
   /// Closes the connection at once, cancels its pending requests and removes it from its owner.
   void close_and_cancel();
-  /// Whether the client has exceeded a time limit: without a command, in the middle of a command, with an
-  /// answer that it does not read, or after the final reply.
-  [[nodiscard]] bool overdue(ev::tstamp now);
+  /// The time limit that the client has exceeded, or TimeLimit::none.
+  [[nodiscard]] TimeLimit exceeded_limit(ev::tstamp now);
   /// Whether the client waits between two commands: it has sent one before, nothing is pending, and no part
   /// of a next one has been processed. A client that has just connected is not idle.
   [[nodiscard]] bool idle() const { return command_received_ && !partial_command_ && nothing_pending(); }
@@ -150,8 +156,9 @@
   bool command_received_ = false;     // at least one command has been received
   bool partial_command_ = false;      // nothing is pending and a part of a command has been received
   ev::tstamp waiting_since_;
-  std::size_t discarded_bytes_ = 0;    // while lingering
-  std::uint64_t last_bytes_sent_ = 0;  // bytes_sent() when a long answer was last checked for progress
+  std::size_t discarded_bytes_ = 0;  // while lingering
+  // bytes_received_by_peer() when an answer was last checked for progress
+  std::uint64_t last_bytes_received_by_peer_ = 0;
 };
 
 /// A listener and the clients that it has accepted.
@@ -200,6 +207,9 @@
   [[nodiscard]] std::size_t max_clients() const { return max_clients_; }
   /// All clients, with lingering ones.
   [[nodiscard]] std::size_t size() const { return clients_.size(); }
+  /// Called for each client that is closed for a time limit, with the time that it has taken, in seconds.
+  using TimeLimitCallback = std::function<void(TimeLimit limit, double waited_s)>;
+  void set_time_limit_callback(TimeLimitCallback callback) { on_time_limit_ = std::move(callback); }
   /// To be called by a client that has closed.
   void remove(Client* client);
   /// To be called by a client that starts lingering. If too many linger, the one that has lingered longest is
@@ -226,6 +236,7 @@
   broker::Broker& broker_;
   std::size_t max_clients_, idle_timeout_limit_;
   std::function<void()> on_new_client_;
+  TimeLimitCallback on_time_limit_;
   Factory factory_;
   Fd listener_;
   ev::io accept_watcher_;
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -1,12 +1,15 @@
 #include "wire/connection.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -204,6 +207,12 @@
     if (std::exchange(connection->starved_, false)) connection->update_events();
 }
 
+std::uint64_t Connection::bytes_received_by_peer() const {
+  int unacknowledged = 0;
+  if (::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged) != 0) return bytes_sent_;
+  return bytes_sent_ - std::min(bytes_sent_, static_cast<std::uint64_t>(std::max(unacknowledged, 0)));
+}
+
 void Connection::shut_down_writing() { ::shutdown(fd_.get(), SHUT_WR); }
 
 void Connection::close() {
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -103,6 +103,9 @@
   [[nodiscard]] bool reading_paused() const { return paused_; }
   /// Bytes passed to the kernel since the connection was opened.
   [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
+  /// Bytes that the peer's machine has acknowledged. The kernel takes megabytes more for a peer that reads
+  /// slowly, so bytes_sent() may stand still while the peer reads.
+  [[nodiscard]] std::uint64_t bytes_received_by_peer() const;
   /// Handles this connection's events before those of connections with normal priority.
   void raise_priority();
   [[nodiscard]] std::size_t max_input() const { return in_.max_size(); }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -501,43 +501,88 @@
   }
 }
 
+/// Reads a long answer slowly: the gateway closes a client that takes nothing for 10 s.
+class SlowReader {
+ public:
+  SlowReader(const std::string& address, std::size_t answer_bytes)
+      : client_(Socket::to(address, receive_buffer_bytes)), remaining_(answer_bytes) {}
+  PgClient& client() { return client_; }
+  /// Reads `bytes` of the answer.
+  bool read(std::size_t bytes) {
+    remaining_ -= bytes;
+    last_read_ = Clock::now();
+    return client_.socket.read(bytes).has_value();
+  }
+  /// Reads a small part if the last one was read some time ago.
+  bool keep_connection() {
+    return remaining_ <= receive_buffer_bytes || Clock::now() - last_read_ < keep_interval ||
+           read(receive_buffer_bytes);
+  }
+  /// Reads the rest of the answer.
+  bool read_rest() {
+    while (remaining_ > 0)
+      if (!read(std::min<std::size_t>(remaining_, receive_buffer_bytes))) return false;
+    return true;
+  }
+
+ private:
+  static constexpr int receive_buffer_bytes =
+      64 * 1024;  // the kernel cannot take a whole value for the client
+  static constexpr auto keep_interval = 3s;
+  PgClient client_;
+  std::size_t remaining_;
+  Clock::time_point last_read_ = Clock::now();
+};
+
 TEST(LongValues, ReachManySlowClientsCompleteWithinTheMemoryLimit) {
   Service service;
-  const auto value = long_value(std::size_t{4} << 20U);
+  // More than the kernel can take for a client: up to 4 MiB to be sent, and the receive buffer.
+  const auto value = long_value(std::size_t{7} << 20U);
   PgClient quick(service.program->pg());
   service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
   const auto answer = quick.query(statement("a", "pay"));
   EXPECT_EQ(answer.types, "TDCZ");
   EXPECT_EQ(answer.value, value);
+  const std::size_t answer_bytes = row_description().size() + row_header_size + value.size() +
+                                   command_complete.size() + ready_for_query.size();
   constexpr std::size_t first_part_size = 100;
-  std::vector<std::unique_ptr<PgClient>> slow;
+  std::vector<std::unique_ptr<SlowReader>> slow;
   for (int i = 0; i < 40; ++i) {
-    slow.push_back(std::make_unique<PgClient>(service.program->pg()));
+    slow.push_back(std::make_unique<SlowReader>(service.program->pg(), answer_bytes));
     service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
-    slow.back()->socket.send(pg_query(statement("b" + std::to_string(i), "pay")));
-    ASSERT_TRUE(slow.back()->socket.read(first_part_size));  // and no more until all clients have begun
+    slow.back()->client().socket.send(pg_query(statement("b" + std::to_string(i), "pay")));
+    ASSERT_TRUE(slow.back()->read(first_part_size));  // and little more until all clients have begun
+    for (auto& reader : slow) ASSERT_TRUE(reader->keep_connection());
   }
   EXPECT_EQ(service.metric_value("app_active"), 40);
   EXPECT_LT(service.program->resident_kb(), memory_bounds_apply ? 32 * 1024 : 1 << 30);
-  for (auto& client : slow) {
-    std::size_t remaining = row_description().size() + row_header_size + value.size() +
-                            command_complete.size() + ready_for_query.size() - first_part_size;
-    while (remaining > 0) {
-      const auto n = std::min<std::size_t>(remaining, 65536);
-      ASSERT_TRUE(client->socket.read(n));
-      remaining -= n;
-    }
-    EXPECT_EQ(
-        client
-            ->query(statement("c" + std::to_string(remaining) + std::to_string(&client - slow.data()), "pay"))
-            .types,
-        "TDCZ");
+  for (std::size_t i = 0; i < slow.size(); ++i) {
+    ASSERT_TRUE(slow[i]->read_rest());
+    for (auto& reader : slow) ASSERT_TRUE(reader->keep_connection());
+    EXPECT_EQ(slow[i]->client().query(statement("c" + std::to_string(i), "pay")).types, "TDCZ");
   }
   EXPECT_EQ(service.metric_value("app_active"), 0);
   // The quick one, and a long and a short one of each slow client.
   EXPECT_EQ(service.metric_value("app_ok{kind=\"pay\"}"), 81);
 }
 
+// Guards against a client that is closed inside a value although it reads all the time: the kernel holds so
+// much of the value that the gateway can write nothing for more than 10 s.
+TEST(LongValues, ClientThatReadsSlowlyButSteadilyGetsTheWholeValue) {
+  Service service;
+  const auto value = long_value(std::size_t{7} << 20U);
+  const std::size_t answer_bytes = row_description().size() + row_header_size + value.size() +
+                                   command_complete.size() + ready_for_query.size();
+  SlowReader reader(service.program->pg(), answer_bytes);
+  service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
+  reader.client().socket.send(pg_query(statement("a", "pay")));
+  constexpr std::size_t part_size = 16 * 1024;
+  for (const auto start = Clock::now(); Clock::now() - start < 12s; std::this_thread::sleep_for(500ms))
+    ASSERT_TRUE(reader.read(part_size));
+  EXPECT_TRUE(reader.read_rest());
+  EXPECT_EQ(reader.client().query(statement("b", "pay")).types, "TDCZ");
+}
+
 TEST(LongValues, TruncatedAnswerClosesTheClientAndIsNotRetried) {
   Service service;
   PgClient client(service.program->pg());
@@ -626,6 +671,61 @@
   return base.substr(0, at + 4) + std::string(extra_bytes, 'a') + base.substr(at + 4);
 }
 
+/// Clients that have each sent the beginning of a long command, and go on slowly until finish(): the gateway
+/// closes a client of whose command no byte arrives for 2.5 s.
+class SlowWriters {
+ public:
+  SlowWriters(const std::string& address, const std::vector<std::string>& queries) : queries_(queries) {
+    trickle_ = std::thread([this] { send_slowly(); });
+    for (std::size_t i = 0; i < queries.size(); ++i) {
+      auto client = std::make_unique<PgClient>(address);
+      client->socket.send(std::string_view(queries[i]).substr(0, first_part_size));
+      const std::lock_guard lock(mutex_);
+      clients_.push_back(std::move(client));
+      sent_.push_back(first_part_size);
+    }
+  }
+  ~SlowWriters() { stop(); }
+  /// Completes all commands at the same time; returns how many are served.
+  int finish() {
+    stop();
+    std::vector<std::thread> writers;
+    std::atomic<int> served{0};
+    for (std::size_t i = 0; i < clients_.size(); ++i)
+      writers.emplace_back([&, i] {
+        clients_[i]->socket.send(std::string_view(queries_[i]).substr(sent_[i]));
+        served += clients_[i]->read_answer().types == "TDCZ" ? 1 : 0;
+      });
+    for (auto& writer : writers) writer.join();
+    return served;
+  }
+
+ private:
+  static constexpr std::size_t first_part_size = 100;
+  static constexpr auto interval = 500ms;
+  void send_slowly() {
+    std::unique_lock lock(mutex_);
+    while (!stopped_.wait_for(lock, interval, [this] { return stopping_; }))
+      for (std::size_t i = 0; i < clients_.size(); ++i)
+        clients_[i]->socket.send(std::string_view(queries_[i]).substr(sent_[i]++, 1));
+  }
+  void stop() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    stopped_.notify_all();
+    if (trickle_.joinable()) trickle_.join();
+  }
+  const std::vector<std::string>& queries_;
+  std::mutex mutex_;
+  std::condition_variable stopped_;
+  bool stopping_ = false;
+  std::vector<std::unique_ptr<PgClient>> clients_;
+  std::vector<std::size_t> sent_;  // bytes of each query
+  std::thread trickle_;
+};
+
 TEST(LongValues, ManyLongStatementsReachTheHostCompleteWithinTheMemoryLimit) {
   Service service;
   PgClient client(service.program->pg());
@@ -633,23 +733,13 @@
   EXPECT_EQ(service.primary.seen(), std::vector<std::string>{"whole"});
   EXPECT_EQ(service.primary.longest_statement(), long_statement("whole", std::size_t{4} << 20U).size());
   // All clients begin a long statement before any completes it; a short one is served meanwhile.
-  std::vector<std::unique_ptr<PgClient>> many;
   std::vector<std::string> queries;
-  for (int i = 0; i < 40; ++i) {
+  for (int i = 0; i < 40; ++i)
     queries.push_back(pg_query(long_statement("m" + std::to_string(i), std::size_t{4} << 20U)));
-    many.push_back(std::make_unique<PgClient>(service.program->pg()));
-    many.back()->socket.send(queries.back().substr(0, 100));
-  }
+  SlowWriters many(service.program->pg(), queries);
   EXPECT_EQ(client.query(statement("short", "pay")).types, "TDCZ");
   EXPECT_LT(service.program->resident_kb(), memory_bounds_apply ? 96 * 1024 : 1 << 30);
-  std::vector<std::thread> writers;
-  std::atomic<int> served{0};
-  for (std::size_t i = 0; i < many.size(); ++i)
-    writers.emplace_back([&, i] {
-      many[i]->socket.send(queries[i].substr(100));
-      served += many[i]->read_answer().types == "TDCZ" ? 1 : 0;
-    });
-  for (auto& writer : writers) writer.join();
+  const int served = many.finish();
   EXPECT_EQ(served, 40);
   EXPECT_EQ(service.primary.count(), 42U);  // with `whole` and `short`
   EXPECT_EQ(service.metric_value("app_ok{kind=\"pay\"}"), 42);
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -1,5 +1,6 @@
 #include "support/stand_in.h"
 
+#include <arpa/inet.h>
 #include <dirent.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -27,6 +28,18 @@
   setsockopt(fd_.get(), SOL_SOCKET, SO_RCVTIMEO, &read_timeout, sizeof read_timeout);
 }
 
+Socket Socket::to(const std::string& address, int receive_buffer_bytes) {
+  const auto colon = address.rfind(':');
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+  wire::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+  ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&target), sizeof target);
+  return Socket(std::move(fd));
+}
+
 Socket Socket::to(const std::string& address) {
   auto fd = wire::connect_to(address);
   constexpr int connect_timeout_ms = 5000;
@@ -763,6 +776,11 @@
          (contract == "bid" ? ",k=key-" + id : "") + ",cluster=1" + more + " */";
 }
 
+PgClient::PgClient(Socket connected) : socket(std::move(connected)) {
+  socket.send(pg_startup());
+  read_answer();
+}
+
 PgClient::PgClient(const std::string& address, bool start) : socket(Socket::to(address)) {
   if (!start) return;
   socket.send(pg_startup());
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -32,6 +32,8 @@
   explicit Socket(wire::Fd fd);
   /// Opens a TCP connection to "ip:port".
   static Socket to(const std::string& address);
+  /// The same with a receive buffer of this size, which the kernel does not enlarge.
+  static Socket to(const std::string& address, int receive_buffer_bytes);
   /// Sets the peer of a datagram socket; returns whether that succeeded.
   bool connect(const std::string& address);
   /// Sends all bytes; false if the connection broke. With `last`, the end of the stream is sent in the same
@@ -312,6 +314,8 @@
  public:
   /// Connects; with `start`, completes the startup as well.
   explicit PgClient(const std::string& address, bool start = true);
+  /// Uses a socket that is connected already, and completes the startup.
+  explicit PgClient(Socket connected);
   Socket socket;
   /// Reads up to ReadyForQuery, or up to the end of the connection.
   PgAnswer read_answer();
