Rig: never signal all processes when a gateway that is not running is told to end

Cause: Rig::terminate_gateway takes the gateway's process id and sends SIGKILL to it later unless the process has ended. The id of a gateway that is not running is -1, and kill(-1) means all processes.

Fix: signal_process() sends to single processes only; all signals of the rig use it. Rig.SignalsGoToSingleProcessesOnly checks it with the signal 0, which is harmless where the check is missing. The other calls checked the id before.

--- a/src/tools/rig/processes.cpp
+++ b/src/tools/rig/processes.cpp
@@ -29,6 +29,8 @@
   return exit_not_executed;
 }
 
+bool signal_process(pid_t pid, int number) { return pid > 0 && ::kill(pid, number) == 0; }
+
 pid_t start_program(const std::string& program,
                     const std::vector<std::pair<std::string, std::string>>& variables,
                     const std::string& log) {
--- a/src/tools/rig/processes.h
+++ b/src/tools/rig/processes.h
@@ -21,4 +21,8 @@
                     const std::vector<std::pair<std::string, std::string>>& variables,
                     const std::string& log);
 
+/// Sends a signal to one process. Returns false, and sends nothing, unless `pid` is the id of a process:
+/// kill() takes 0 and negative numbers for groups of processes, -1 for all that it may signal.
+bool signal_process(pid_t pid, int number);
+
 }  // namespace cedarring::rig
--- a/src/tools/rig/rig.cpp
+++ b/src/tools/rig/rig.cpp
@@ -151,7 +151,7 @@
   for (auto& process : gateways_)
     for (const pid_t pid : {process.pid, process.previous_pid})
       if (pid > 0) {
-        ::kill(pid, SIGKILL);
+        signal_process(pid, SIGKILL);
         ::waitpid(pid, nullptr, 0);
       }
   while (!host_links_.empty()) host_links_.begin()->second->shut_down(true);
@@ -461,7 +461,7 @@
 
 void Rig::signal_gateway(int gateway, int number) {
   const auto& process = gateways_[static_cast<std::size_t>(gateway)];
-  if (process.pid > 0) ::kill(process.pid, number);
+  signal_process(process.pid, number);
 }
 
 void Rig::reap_processes() {
@@ -651,8 +651,7 @@
   timeline_.after(std::min(longest_deadline(scenario_), max_drain_time) + drain_margin, [this, gateway, pid] {
     auto& overdue = gateways_[static_cast<std::size_t>(gateway)];
     if (overdue.pid != pid && overdue.previous_pid != pid) return;
-    add_event('g' + std::to_string(gateway) + " had not ended, killed");
-    ::kill(pid, SIGKILL);
+    if (signal_process(pid, SIGKILL)) add_event('g' + std::to_string(gateway) + " had not ended, killed");
   });
 }
 
@@ -845,7 +844,7 @@
         start_gateway(target, true);
         timeline_.after(upgrade_term_delay, [this, target] {
           const auto& process = gateways_[static_cast<std::size_t>(target)];
-          if (process.previous_pid > 0) ::kill(process.previous_pid, SIGTERM);
+          signal_process(process.previous_pid, SIGTERM);
         });
       }
       break;
--- a/tests/rig_test.cpp
+++ b/tests/rig_test.cpp
@@ -21,6 +21,7 @@
 #include <thread>
 
 #include "app/json_schema.h"
+#include "tools/rig/processes.h"
 #include "tools/rig/relay.h"
 #include "tools/rig/rules.h"
 #include "tools/rig/scenario.h"
@@ -665,6 +666,15 @@
   return found;
 }
 
+// Guards against a SIGTERM to a gateway that is not running, whose id of -1 stands for all processes: the rig
+// sent them SIGKILL when the gateway had not ended in time.
+TEST(Rig, SignalsGoToSingleProcessesOnly) {
+  constexpr int no_signal = 0;  // only checks whether there is a process
+  EXPECT_TRUE(rig::signal_process(::getpid(), no_signal));
+  EXPECT_FALSE(rig::signal_process(-1, no_signal));
+  EXPECT_FALSE(rig::signal_process(0, no_signal));
+}
+
 TEST(Rig, KilledRigLeavesNoProcessesAndAnIncompleteResult) {
   const auto out = make_temp_folder();
   std::ofstream(out + "/scenario.json")
