--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -104,6 +104,14 @@
   EXPECT_EQ(call(process.control(), "GET", "/-/ready").status, 200);
 }
 
+/// Ends a process once it has been replaced, and checks that the idle client is served by its successor.
+void end_replaced_process(UpgradedGateway& gateway, GatewayProcess& process) {
+  ASSERT_TRUE(process.wait_output("replaced by a new process", 1));
+  process.signal(SIGTERM);
+  EXPECT_EQ(process.wait_exit(), 0);
+  EXPECT_EQ(gateway.query_of_idle_client(), "TDCZ");
+}
+
 /// Waits until the process waits for its handover.
 bool wait_until_waiting(GatewayProcess& process) {
   return process.wait_output("waiting for the handover", 1);
@@ -127,10 +135,7 @@
   ASSERT_TRUE(wait_until_waiting(*third));
   for (const int number : {SIGHUP, SIGUSR1, SIGHUP}) third->signal(number);
   ASSERT_TRUE(third->wait_listeners());
-  ASSERT_TRUE(gateway.second->wait_output("replaced by a new process", 1));
-  gateway.second->signal(SIGTERM);
-  EXPECT_EQ(gateway.second->wait_exit(), 0);
-  EXPECT_EQ(gateway.query_of_idle_client(), "TDCZ");
+  end_replaced_process(gateway, *gateway.second);
 }
 
 // Guards against a waiting process that takes over although it has been told to end.
@@ -143,10 +148,7 @@
   expect_ready(*gateway.second);
   const auto fourth = gateway.start_next();
   expect_ready(*fourth);
-  ASSERT_TRUE(gateway.second->wait_output("replaced by a new process", 1));
-  gateway.second->signal(SIGTERM);
-  EXPECT_EQ(gateway.second->wait_exit(), 0);
-  EXPECT_EQ(gateway.query_of_idle_client(), "TDCZ");
+  end_replaced_process(gateway, *gateway.second);
 }
 
 // Guards against a third process that starts as a stranger when the process that it waits for is killed.
@@ -185,10 +187,7 @@
   EXPECT_FALSE(second->ended());
   second.reset();
   ASSERT_TRUE(third->wait_listeners());
-  ASSERT_TRUE(gateway.first->wait_output("replaced by a new process", 1));
-  gateway.first->signal(SIGTERM);
-  EXPECT_EQ(gateway.first->wait_exit(), 0);
-  EXPECT_EQ(gateway.query_of_idle_client(), "TDCZ");
+  end_replaced_process(gateway, *gateway.first);
 }
 
 // Guards against a process that takes over, and closes the clients that it got, although it has been told to
