Retries: a given-up request goes to a second host only once the first cannot read it any more

Cause: the router cancels attempts at a host that it takes for unresponsive, some of them 1 to 10 ms after they were written. The upstream closed the connection and the request went to another host in the same turn. Closing does not take back bytes that the first host has not read: a host that pauses and goes on reads them while the second host has the request.

Change: a cancelled attempt whose request may be sent again ends its sending, and stays in flight until the host answers (the answer is served), closes or resets the connection. Cancel::confirm_by limits the wait to the class's latency target, and to the time in which an answer is still of use. A host that has shown nothing by then may read the request at any time, so the request is not sent again: it is refused where a repeat does no harm, else failed, at once. The same holds for a connection that this side ends for lack of memory. Where the settings allow second copies, nothing is awaited. Unsafe classes were never affected.

Why this works: a host that has closed its end has read the request or never will, and no other attempt is written before. Not covered: a connection that is reset on the way, of which no host tells anything, and a host that violates the protocol.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -204,6 +204,9 @@
   // For Outcome::connect_failed: whether the connect timeout expired. Otherwise the connection may have been
   // refused.
   bool connect_timed_out = false;
+  // For Outcome::cancelled: the host has not shown by Cancel::confirm_by whether it has read the request, so
+  // it may still read it at any time.
+  bool unconfirmed = false;
 };
 /// The first part of an answer was passed on to the client, so the request cannot be retried any more.
 struct AnswerStarted {
@@ -243,9 +246,16 @@
   bool use_full_connect_timeout = false;
 };
 /// Cancel an attempt in flight.
+///
+/// With `confirm_by` the request may be sent again elsewhere: the caller ends the sending on the connection,
+/// and reports the end of the attempt once the host has answered or closed its end, which shows that it has
+/// read the request or never will. At `confirm_by` the caller closes the connection and reports the end as
+/// AttemptEnded::unconfirmed. A caller whose hosts drop what they have not read of a cancelled attempt may
+/// report the end at once.
 struct Cancel {
   RequestId request;
   std::uint32_t attempt = 0;
+  Time confirm_by{};  // zero: the request has ended, so close the connection at once
 };
 /// Reject the request. The client may safely send it again; a keyed request that may have run, only with the
 /// same key and within its deduplication window, which the router does not check.
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -333,6 +333,7 @@
   event.metadata = result.metadata;
   event.report = result.report;
   event.connect_timed_out = result.connect_timed_out;
+  event.unconfirmed = result.unconfirmed;
   request.last_outcome = result.outcome;
   request.may_have_run |= result.outcome != Outcome::connect_failed && result.outcome != Outcome::not_sent &&
                           result.outcome != Outcome::full && result.outcome != Outcome::too_stale;
@@ -494,8 +495,11 @@
     const auto it = requests_.find(cancel->request.value);
     if (it == requests_.end() || cancel->attempt >= it->second.attempts.size()) return;
     if (!it->second.attempts[cancel->attempt].in_flight) return;
-    upstream_.cancel({cancel->request, cancel->attempt});
-    attempt_ended({cancel->request, cancel->attempt}, result_without_answer(Outcome::cancelled));
+    const AttemptKey key{cancel->request, cancel->attempt};
+    if (!it->second.ended && cancel->confirm_by > Time::zero())
+      return upstream_.give_up(key, cancel->confirm_by);
+    upstream_.cancel(key);
+    attempt_ended(key, result_without_answer(Outcome::cancelled));
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
     finish_request(refuse->request, refused_answer(refuse->retry_after), gates::Decider::router);
     erase_if_complete(refuse->request);
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -88,6 +88,7 @@
   // Whether the attempt ended by a timeout. Only read with the outcome connect_failed, where it tells a slow
   // connection from a refused one.
   bool connect_timed_out = false;
+  bool unconfirmed = false;  // see AttemptEnded::unconfirmed
 };
 
 /// Carries out attempts, probes and the discovery watch. Their results may be reported to the broker before
@@ -104,6 +105,10 @@
                      bool use_full_connect_timeout) = 0;
   /// Cancels an attempt. The broker ignores a result of the attempt that is reported afterwards.
   virtual void cancel(AttemptKey key) = 0;
+  /// Gives up an attempt whose request may be sent again elsewhere, see cedarring::Cancel. The attempt stays
+  /// in flight until its end is reported: with the host's answer if one arrives, else as Outcome::cancelled,
+  /// by `confirm_by` at the latest. cancel() ends it earlier.
+  virtual void give_up(AttemptKey key, Time confirm_by) = 0;
   /// Sends a probe, answered by Broker::probe_ended.
   virtual void probe(HostId host, const std::string& address) = 0;
   /// Opens or reopens the discovery watch.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -778,12 +778,18 @@
   }
 
   // ---- admission ----
+  /// Whether a further attempt would be the only one that a host has or can get, as it must be without
+  /// hedging: none is in flight, and none has ended that its host may still read.
+  bool only_copy(const Request& request) const {
+    return settings_.hedging_allowed || (request.attempts_in_flight == 0 && !request.unconfirmed);
+  }
+
   /// Whether the request may be sent to `target`, or be refused if `target` is null, without the risk that it
   /// takes effect twice. With DedupScope::all a request that may have run is refused without a check of its
   /// window: this relies on the client to repeat it with the same key within the window.
   bool permitted(const Request& request, const Host* target) const {
     const auto& request_class = settings_.classes[request.class_id.value];
-    if (target && request.attempts_in_flight > 0 && !settings_.hedging_allowed) return false;
+    if (target && !only_copy(request)) return false;
     if (target && request.attempts.size() >= request_class.max_attempts) return false;
     if (request_class.idempotency == Idempotency::safe) return true;
     if (request.may_have_run_at == forever && request.attempts_in_flight == 0) return true;
@@ -1056,6 +1062,7 @@
       request.may_have_run_at = attempt.sent_at;
       request.may_have_run_on = attempt.host;
     }
+    request.unconfirmed = request.unconfirmed || event.unconfirmed;
     if (event.outcome == Outcome::too_stale) request.refused_as_stale = true;
     if (attempt.to_stale_replica && (event.outcome == Outcome::ok || event.outcome == Outcome::too_stale))
       for (auto* success_rate : {&groups_[group_id].stale_read_success, &stale_read_success_})
@@ -1202,7 +1209,8 @@
     const double charge = outcome == Outcome::error ? work : 1;
     const double cost = free_of_charge ? 0 : charge;
     const bool budget_spent = retry_tokens_ < cost || request.attempts.size() >= max_attempts(request);
-    if (request.answer_started || budget_spent || now_ >= request.deadline) return refuse_or_fail(request);
+    if (request.answer_started || budget_spent || now_ >= request.deadline || !only_copy(request))
+      return refuse_or_fail(request);
     if (settings_.classes[request.class_id.value].idempotency == Idempotency::unsafe &&
         request.may_have_run_at != forever)
       return refuse_or_fail(request);
@@ -1224,8 +1232,8 @@
   }
 
   /// Cancels attempts at unresponsive hosts, and attempts lost by hosts that have answered others since, so
-  /// that their requests are retried. A long query that is cancelled for no fault of its host is executed
-  /// twice; the retry budget limits how often.
+  /// that their requests are retried once their hosts cannot read them any more. A long query that is
+  /// cancelled for no fault of its host is executed twice; the retry budget limits how often.
   void cancel_lost_attempts() {
     for (auto& [id, request] : requests_) {
       record_overdue_attempts(request);
@@ -1251,10 +1259,20 @@
                scale(expected_latency(host->second, request.class_id), lost_attempt_latencies)))
         continue;
       attempt.cancelled = true;
-      actions_->push_back(Cancel{request.id, static_cast<std::uint32_t>(request.attempts.size() - 1)});
+      actions_->push_back(
+          Cancel{request.id, static_cast<std::uint32_t>(request.attempts.size() - 1), confirm_by(request)});
     }
   }
 
+  /// Until when the host of a cancelled attempt is given time to show that it has read the request or never
+  /// will, see Cancel; zero where the request may be sent again without that. The client learns by then that
+  /// its request is given up, so the time is limited also where an answer has value for long.
+  Time confirm_by(const Request& request) const {
+    if (settings_.hedging_allowed) return Time::zero();
+    const auto target = settings_.classes[request.class_id.value].latency_target;
+    return std::min(now_ + target, latest_useful_send(request));
+  }
+
   /// Records load for hosts that answer probes and have attempts past their latency target: this shows a
   /// queue before the attempts end.
   void record_overdue_attempts(Request& request) {
--- a/src/router/state.h
+++ b/src/router/state.h
@@ -140,6 +140,7 @@
   bool reached_host = false;       // an attempt was written to a host
   bool ended = false;              // the client has a final answer or has left
   bool refused_as_stale = false;   // a replica refused the read because it is too far behind
+  bool unconfirmed = false;        // an attempt has ended whose host may still read it
   Time may_have_run_at = forever;  // send time of the earliest attempt that has ended and may have run
   HostId may_have_run_on{};        // host of that attempt
 
--- a/src/tools/lab/simulation.cpp
+++ b/src/tools/lab/simulation.cpp
@@ -50,6 +50,7 @@
              const std::shared_ptr<const broker::RequestPayload>& payload, Time give_up_at,
              bool use_full_connect_timeout) override;
   void cancel(broker::AttemptKey key) override;
+  void give_up(broker::AttemptKey key, Time confirm_by) override;
   void probe(HostId host, const std::string& address) override;
   void open_watch() override;
   void set_timer(Time due) override;
@@ -647,6 +648,14 @@
   in_flight_.erase(it);
 }
 
+/// The modelled hosts drop what they have not read of a cancelled attempt, so nothing has to be awaited.
+void SimulatedUpstream::give_up(broker::AttemptKey key, Time) {
+  cancel(key);
+  broker::AttemptResult result;
+  result.outcome = Outcome::cancelled;
+  simulation_.gateways[gateway_]->broker->attempt_ended(key, std::move(result));
+}
+
 void SimulatedUpstream::probe(HostId id, const std::string& address) {
   auto& timeline = simulation_.timeline;
   const auto sent_at = timeline.now();
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -20,13 +20,9 @@
   return std::max(0.0, static_cast<double>(duration.count()) / us_per_s);
 }
 
-/// The outcome of an attempt whose connection failed or timed out; outcomes that hosts report are mapped by
-/// each protocol's codec. If the connection was refused, not established, or failed before the last byte of
-/// the request was sent, the request did not run.
-Outcome outcome_of_loss(bool request_sent, bool timed_out) {
-  if (!request_sent) return Outcome::connect_failed;
-  return timed_out ? Outcome::timeout : Outcome::reset;
-}
+/// Whether the peer's process or kernel has ended the connection, as opposed to this side or a time limit on
+/// the way. `error`: as in Connection::on_end().
+bool ended_by_peer(int error) { return error == 0 || error == ECONNRESET || error == EPIPE; }
 
 }  // namespace
 
@@ -93,21 +89,25 @@
 void HostConnection::finish(AttemptResult result, bool keep) {
   timer_.stop();
   const auto job = std::exchange(job_, std::nullopt);
-  keep = keep && submitted_ && !retired_ && in_.empty() && out_.empty();
+  keep = keep && submitted_ && !retired_ && !given_up_ && in_.empty() && out_.empty();
   if (!keep && !closed()) close();
   owner_.on_job_done(this, *job, std::move(result), keep);
 }
 
 void HostConnection::on_timeout(ev::timer&, int) {
   if (!job_) return;
-  AttemptResult result;
-  result.outcome = outcome_of_loss(request_sent(), true);
+  auto result = result_of_loss(Loss::timeout);
   result.connect_timed_out = true;
   if (!handshake_done_) owner_.adaptive_connect_timeout().timed_out();
   finish(std::move(result), false);
 }
 
 bool HostConnection::forward_answer_part(std::string_view bytes) {
+  // The host may cut off the rest of a long answer when it notices that the sending has ended.
+  if (given_up_) {
+    finish_given_up();
+    return false;
+  }
   streaming_ = true;
   const bool read_on = owner_.on_answer_part(*job_, bytes);
   if (closed() || !job_) return false;
@@ -134,6 +134,21 @@
   if (!closed()) close();
 }
 
+/// A host that has not got the whole request cannot run it, so nothing has to be awaited then.
+void HostConnection::give_up(Time confirm_by) {
+  if (!request_sent()) return finish_given_up();
+  given_up_ = true;
+  shut_down_writing();
+  timer_.stop();
+  timer_.start(seconds(std::min(confirm_by, job_->give_up_at) - owner_.now()));
+}
+
+void HostConnection::finish_given_up() {
+  AttemptResult result;
+  result.outcome = Outcome::cancelled;
+  finish(std::move(result), false);
+}
+
 void HostConnection::retire() {
   retired_ = true;
   if (!job_ || submitted_) return;
@@ -144,18 +159,29 @@
 
 void HostConnection::protocol_error() {
   if (!closed()) close();
-  on_closed(std::nullopt);
+  if (!job_) return owner_.remove(this);
+  finish(result_of_loss(Loss::by_host), false);
 }
 
-void HostConnection::on_end(int) { on_closed(received_result()); }
-
-void HostConnection::on_closed(std::optional<AttemptResult> result) {
+void HostConnection::on_end(int error) {
   if (!job_) return owner_.remove(this);
-  if (!result) {
-    result.emplace();
-    result->outcome = outcome_of_loss(request_sent(), false);
-  }
-  finish(std::move(*result), false);
+  const auto received = received_result();
+  finish(received ? *received : result_of_loss(ended_by_peer(error) ? Loss::by_host : Loss::closed_here),
+         false);
+}
+
+/// If the connection was refused, not established, or failed before the last byte of the request was sent,
+/// the request did not run.
+AttemptResult HostConnection::result_of_loss(Loss loss) const {
+  AttemptResult result;
+  result.unconfirmed = request_sent() && loss != Loss::by_host;
+  if (given_up_)
+    result.outcome = Outcome::cancelled;
+  else if (!request_sent())
+    result.outcome = Outcome::connect_failed;
+  else
+    result.outcome = loss == Loss::timeout ? Outcome::timeout : Outcome::reset;
+  return result;
 }
 
 SocketUpstream::SocketUpstream(ev::loop_ref loop, Reaper& reaper, Clock clock, Options options,
@@ -259,6 +285,11 @@
   close(connection);
 }
 
+void SocketUpstream::give_up(broker::AttemptKey key, Time confirm_by) {
+  const auto it = attempts_.find({key.request.value, key.number});
+  if (it != attempts_.end()) it->second->give_up(confirm_by);
+}
+
 void SocketUpstream::on_job_done(HostConnection* connection, const Job& job, AttemptResult result,
                                  bool keep) {
   const auto host = connection->host();
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -39,6 +39,8 @@
   void run(Job job);
   /// Closes the connection and drops its job without reporting a result; the owner removes it.
   void abandon();
+  /// Gives up the job, see broker::Upstream::give_up.
+  void give_up(Time confirm_by);
   /// To be called when the host is draining, gone or has another address: a job whose request has not been
   /// submitted yet ends as not sent; any other job is completed. The connection is not reused.
   void retire();
@@ -61,9 +63,6 @@
   [[nodiscard]] bool has_pending_work() const final { return job_.has_value(); }
   void on_end(int error) final;
   void on_sent() final;
-  /// To be called when the connection has closed: finishes the job with `result`, or, if there is none, with
-  /// the outcome that a lost connection implies. Without a job, only removes the connection.
-  void on_closed(std::optional<broker::AttemptResult> result);
   /// To be called when the host has completed the handshake.
   void on_handshake_done();
   /// Writes the last or only part of the request: once its last byte is sent the request may run.
@@ -93,9 +92,21 @@
   void on_timeout(ev::timer&, int);
   /// Starts the timer of the job's connect or answer.
   void start_timer();
+  /// Ends a job that was given up: its host has read the request, or will never get all of it.
+  void finish_given_up();
+  /// How a connection was lost.
+  enum class Loss {
+    by_host,      // the host closed or reset it, or has answered what is not the protocol
+    closed_here,  // it failed on this side, for lack of memory for example
+    timeout
+  };
+  /// The result of an attempt whose connection was lost; results that hosts report are mapped by each
+  /// protocol's codec.
+  [[nodiscard]] broker::AttemptResult result_of_loss(Loss loss) const;
   /// Whether the last byte of the request has been passed to the kernel, so that the request may run.
   [[nodiscard]] bool request_sent() const { return submitted_ && out_.empty(); }
   bool retired_ = false;        // not to be reused after the current job
+  bool given_up_ = false;       // the sending has ended; the host's answer or close is awaited
   bool streaming_ = false;      // a part of the job's answer has been forwarded
   bool sent_reported_ = false;  // the broker knows that the request has been sent completely
   SocketUpstream& owner_;
@@ -155,6 +166,7 @@
              const std::shared_ptr<const broker::RequestPayload>& payload, Time give_up_at,
              bool use_full_connect_timeout) override;
   void cancel(broker::AttemptKey key) override;
+  void give_up(broker::AttemptKey key, Time confirm_by) override;
   void resume(broker::AttemptKey key) override;
   void probe(HostId host, const std::string& address) override;
   void open_watch() override { open_watch_(); }
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -36,10 +36,11 @@
   };
   std::vector<StartedAttempt> started;
   std::vector<AttemptKey> cancelled;
-  std::vector<std::string> probes;  // addresses
-  int in_flight = 0;                // attempts
-  int max_in_flight = 0;            // the highest value of in_flight
-  int watch_count = 0;              // calls of open_watch()
+  std::vector<AttemptKey> given_up;  // their ends are up to the test
+  std::vector<std::string> probes;   // addresses
+  int in_flight = 0;                 // attempts
+  int max_in_flight = 0;             // the highest value of in_flight
+  int watch_count = 0;               // calls of open_watch()
   Time timer_due{};
   std::optional<Outcome> immediate_outcome;  // if set, every attempt ends with it before start() returns
   Broker* broker = nullptr;
@@ -50,10 +51,11 @@
     if (immediate_outcome) end(key, *immediate_outcome);
   }
   /// Ends an attempt with this outcome.
-  void end(AttemptKey key, Outcome outcome) {
+  void end(AttemptKey key, Outcome outcome, bool unconfirmed = false) {
     --in_flight;
     AttemptResult result;
     result.outcome = outcome;
+    result.unconfirmed = unconfirmed;
     result.value = "value";
     broker->attempt_ended(key, result);
   }
@@ -61,6 +63,7 @@
     cancelled.push_back(key);
     --in_flight;
   }
+  void give_up(AttemptKey key, Time) override { given_up.push_back(key); }
   void probe(HostId, const std::string& address) override { probes.push_back(address); }
   void open_watch() override { ++watch_count; }
   void set_timer(Time due) override { timer_due = due; }
@@ -300,6 +303,54 @@
   EXPECT_EQ(fixture.upstream.max_in_flight, 1);
 }
 
+/// Runs until the broker gives up the only attempt of a read because its host has not answered.
+RequestId read_that_is_given_up(BrokerFixture& fixture) {
+  const auto id = fixture.submit("history");
+  const auto end = fixture.now + 900ms;
+  while (fixture.now < end && fixture.upstream.given_up.empty()) fixture.run_until(fixture.now + timer_step);
+  EXPECT_EQ(fixture.upstream.given_up.size(), 1U);
+  return id;
+}
+
+// A host that has not read a given-up attempt could read it beside a second one.
+TEST(Broker, GivenUpRequestIsSentAgainOnlyOnceItsHostHasReadItOrNeverWill) {
+  BrokerFixture fixture;
+  const auto id = read_that_is_given_up(fixture);
+  fixture.run_until(fixture.now + 100ms);
+  EXPECT_EQ(fixture.upstream.started.size(), 1U);
+  EXPECT_EQ(fixture.upstream.given_up.size(), 1U);
+  fixture.upstream.end(fixture.upstream.started[0].key, Outcome::cancelled);
+  ASSERT_EQ(fixture.upstream.started.size(), 2U);
+  fixture.upstream.end(fixture.upstream.started[1].key, Outcome::ok);
+  EXPECT_EQ(fixture.sink.answers.at(id.value).status, AnswerStatus::served);
+  EXPECT_EQ(fixture.upstream.max_in_flight, 1);
+}
+
+TEST(Broker, GivenUpRequestThatItsHostMayStillReadIsRefusedAndNotSentAgain) {
+  BrokerFixture fixture;
+  const auto id = read_that_is_given_up(fixture);
+  fixture.upstream.end(fixture.upstream.started[0].key, Outcome::cancelled, true);
+  EXPECT_EQ(fixture.sink.answers.at(id.value).status, AnswerStatus::refused);
+  fixture.run_until(fixture.now + 1s);
+  EXPECT_EQ(fixture.upstream.started.size(), 1U);
+}
+
+TEST(Broker, AnswerOfAGivenUpAttemptIsServed) {
+  BrokerFixture fixture;
+  const auto id = read_that_is_given_up(fixture);
+  fixture.upstream.end(fixture.upstream.started[0].key, Outcome::ok);
+  EXPECT_EQ(fixture.sink.answers.at(id.value).status, AnswerStatus::served);
+  EXPECT_EQ(fixture.upstream.started.size(), 1U);
+}
+
+TEST(Broker, DisconnectOfTheClientEndsItsGivenUpAttemptAtOnce) {
+  BrokerFixture fixture;
+  const auto id = read_that_is_given_up(fixture);
+  fixture.broker.client_left(id);
+  EXPECT_EQ(fixture.upstream.cancelled.size(), 1U);
+  EXPECT_EQ(fixture.broker.open_requests(), 0U);
+}
+
 TEST(Broker, DisconnectOfTheClientCancelsItsAttemptAndALateAnswerIsIgnored) {
   BrokerFixture fixture;
   const auto id = fixture.submit("pay");
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -300,6 +300,7 @@
   void start(broker::AttemptKey, HostId, const std::string&,
              const std::shared_ptr<const broker::RequestPayload>&, Time, bool) override {}
   void cancel(broker::AttemptKey) override {}
+  void give_up(broker::AttemptKey, Time) override {}
   void probe(HostId, const std::string&) override {}
   void open_watch() override {}
   void set_timer(Time) override {}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -123,7 +123,7 @@
   }
   /// Ends the request's last attempt, and the request too if `request_ended` or if the outcome is ok.
   void end_attempt(std::uint64_t request, Outcome outcome, AnswerMetadata metadata = {},
-                   bool request_ended = false) {
+                   bool request_ended = false, bool unconfirmed = false) {
     AttemptEnded event;
     event.request = RequestId{request};
     event.attempt = attempts[request] - 1;
@@ -131,8 +131,13 @@
     event.outcome = outcome;
     event.metadata = metadata;
     event.request_ended = request_ended || outcome == Outcome::ok;
+    event.unconfirmed = unconfirmed;
     handle(event);
   }
+  /// Ends the request's last attempt, which its host may still read.
+  void end_unconfirmed(std::uint64_t request, Outcome outcome) {
+    end_attempt(request, outcome, {}, false, true);
+  }
   /// The due time of a timer that is not set.
   static constexpr Time no_timer = Time::max();
   /// Advances the clock and fires the router's timer whenever it is due.
@@ -1244,6 +1249,72 @@
   EXPECT_EQ(harness.cancels.size(), 2U);
 }
 
+/// Submits a read whose replica then answers no probe, so that the router cancels the attempt.
+std::uint64_t submit_read_that_is_cancelled(Harness& harness) {
+  harness.answer_probe(1, harness.now, true);
+  const auto request = harness.submit(any);
+  for (int i = 0; i < 2; ++i)
+    harness.handle(ProbeEnded{HostId{harness.last_host[request]}, Outcome::timeout, 250ms, {}});
+  harness.advance(100ms);
+  EXPECT_EQ(harness.cancels.size(), 1U);
+  return request;
+}
+
+// Guards against a second copy: an attempt that its host reads only after the next one was sent.
+TEST(Retry, CancelledAttemptIsConfirmedByItsHostBeforeTheRequestIsSentAgain) {
+  Harness harness;
+  const auto request = submit_read_that_is_cancelled(harness);
+  EXPECT_GT(harness.cancels[0].confirm_by, harness.now);
+  EXPECT_LE(harness.cancels[0].confirm_by, harness.now + 500ms) << "the latency target";
+  harness.advance(100ms);
+  EXPECT_EQ(harness.attempts[request], 1U);
+  EXPECT_EQ(harness.cancels.size(), 1U);
+  harness.end_attempt(request, Outcome::cancelled);
+  EXPECT_EQ(harness.attempts[request], 2U);
+}
+
+TEST(Retry, RequestThatAHostMayStillReadIsNotSentAgainWhateverItsOutcome) {
+  for (const auto outcome : {Outcome::cancelled, Outcome::reset, Outcome::timeout}) {
+    Harness harness;
+    const auto request = submit_read_that_is_cancelled(harness);
+    harness.end_unconfirmed(request, outcome);
+    EXPECT_EQ(harness.refused.count(request), 1U) << name_of(outcome);
+    harness.advance(1s);
+    EXPECT_EQ(harness.attempts[request], 1U) << name_of(outcome);
+  }
+}
+
+// A refusal invites a repeat, which is harmless only where hosts of all groups drop repeats under the key.
+TEST(Retry, KeyedRequestThatAHostMayStillReadFailsUnlessEveryHostDropsRepeats) {
+  for (const auto scope : {DedupScope::group, DedupScope::all}) {
+    auto settings = make_settings();
+    settings.classes[static_cast<std::size_t>(keyed.value)].dedup_scope = scope;
+    Harness harness(settings);
+    harness.answer_probe(1, harness.now, true);
+    const auto request = harness.submit(keyed, 1);
+    ASSERT_TRUE(harness.was_sent(request));
+    for (int i = 0; i < 2; ++i) harness.handle(ProbeEnded{HostId{1}, Outcome::timeout, 250ms, {}});
+    harness.now += 10ms;
+    harness.answer_probe(2, harness.now, true);  // host 2 has become the primary
+    harness.advance(100ms);
+    ASSERT_EQ(harness.cancels.size(), 1U);
+    harness.end_unconfirmed(request, Outcome::cancelled);
+    EXPECT_EQ(harness.attempts[request], 1U);
+    EXPECT_EQ(harness.failed.count(request), scope == DedupScope::all ? 0U : 1U);
+    EXPECT_EQ(harness.refused.count(request), scope == DedupScope::all ? 1U : 0U);
+  }
+}
+
+TEST(Retry, WhereHedgingIsAllowedCancelledAttemptsNeedNoConfirmation) {
+  auto settings = make_settings();
+  settings.hedging_allowed = true;
+  Harness harness(settings);
+  const auto request = submit_read_that_is_cancelled(harness);
+  EXPECT_EQ(harness.cancels[0].confirm_by, Time::zero());
+  harness.end_unconfirmed(request, Outcome::cancelled);
+  EXPECT_EQ(harness.attempts[request], 2U);
+}
+
 // One of a hundred routers sends a request to a host only every few seconds: it must not need several
 // failures to eject the host.
 TEST(Health, OneFailureEjectsAHostUnderThinTrafficButNotUnderDenseTraffic) {
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -21,6 +21,10 @@
 
 namespace cedarring::test {
 namespace my = wire::mysql;
+namespace {
+constexpr int poll_step_ms = 1;
+constexpr std::size_t unread_peek_size = 1024;  // bytes that hold a short request with its id
+}  // namespace
 
 Socket::Socket(wire::Fd fd) : fd_(std::move(fd)) {
   fcntl(fd_.get(), F_SETFL, fcntl(fd_.get(), F_GETFL) & ~O_NONBLOCK);
@@ -108,7 +112,10 @@
     if (stopping_ || fd.get() < 0) return;
     auto socket = std::make_shared<Socket>(std::move(fd));
     sockets_.push_back(socket);
-    threads_.emplace_back([this, socket] { serve(*socket); });
+    threads_.emplace_back([this, socket] {
+      serve(*socket);
+      socket->shut_down();  // as the end of a host's session closes its connection
+    });
   }
 }
 
@@ -164,6 +171,31 @@
   changed_.notify_all();
 }
 
+bool Host::wait_given_up_unread(std::size_t connections) {
+  std::unique_lock lock(mutex_);
+  return changed_.wait_for(lock, response_timeout, [&] { return given_up_unread_ >= connections; });
+}
+
+void Host::await_request(Socket& socket) {
+  pollfd readable{socket.fd(), POLLIN, 0};
+  ::poll(&readable, 1, std::chrono::milliseconds(response_timeout).count());
+  char unread[unread_peek_size];
+  const auto size = ::recv(socket.fd(), unread, sizeof unread, MSG_PEEK | MSG_DONTWAIT);
+  const std::string_view bytes(unread, size > 0 ? static_cast<std::size_t>(size) : 0);
+  const bool is_request = bytes.find("id=") != std::string_view::npos;
+  pollfd end_of_stream{socket.fd(), POLLRDHUP, 0};
+  while (behavior == Behavior::stop_reading) {
+    const bool ended = ::poll(&end_of_stream, 1, poll_step_ms) > 0;
+    const std::lock_guard lock(mutex_);
+    if (stopping_) return;
+    if (!ended) continue;
+    end_of_stream.fd = -1;  // reported once; poll() ignores the entry from now on
+    if (!is_request) continue;
+    ++given_up_unread_;
+    changed_.notify_all();
+  }
+}
+
 void Host::answer_once_with(const std::string& bytes) {
   const std::lock_guard lock(mutex_);
   raw_ = bytes;
@@ -267,7 +299,10 @@
     return;
   }
   socket.send(pg_message('R', std::string(4, '\0')) + ready);
-  while (const auto message = pg_read(socket)) {
+  for (;;) {
+    await_request(socket);
+    const auto message = pg_read(socket);
+    if (!message) return;
     const std::string sql = message->second.substr(0, message->second.size() - 1);
     longest_statement_ = std::max<std::size_t>(longest_statement_, sql.size());
     if (sql == "SHOW health") {
@@ -298,6 +333,7 @@
         socket.send(answer());
         break;
       case Behavior::serve:
+      case Behavior::stop_reading:
         socket.send(answer());
         break;
       case Behavior::serve_and_close:
@@ -347,7 +383,10 @@
     send_packet(row);
     send_packet(my::ok_packet(ok, 0xfe, true));
   };
-  while (const auto packet = my_read(socket, sequence)) {
+  for (;;) {
+    await_request(socket);
+    const auto packet = my_read(socket, sequence);
+    if (!packet) return;
     std::string sql;
     std::string row;
     my::put_lenenc_text(row, "from " + address());
@@ -399,6 +438,7 @@
       case Behavior::hold:
       case Behavior::serve_and_close:
       case Behavior::serve:
+      case Behavior::stop_reading:
         send_result(row);
         break;
       case Behavior::withhold_greeting:
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -61,6 +61,7 @@
   hold,               ///< answers once another behavior is set (MySQL: at once)
   serve,              ///< answers
   serve_and_close,    ///< answers and closes the connection (MySQL: answers)
+  stop_reading,       ///< leaves requests unread until another behavior is set
   withhold_greeting,  ///< accepts connections but never completes their startup (MySQL: as hang)
   hang,               ///< never answers
   reset,              ///< resets the connection
@@ -105,6 +106,9 @@
   bool wait_for(std::size_t requests);
   /// Waits until the gateway has closed this many connections whose request hung; false on timeout.
   bool wait_ended(std::size_t connections);
+  /// Waits until the gateway has closed this many connections, or ended its sending on them, whose request
+  /// was left unread by Behavior::stop_reading; false on timeout.
+  bool wait_given_up_unread(std::size_t connections);
   /// Number of statements that were prepared.
   std::size_t prepared();
 
@@ -118,6 +122,8 @@
   Behavior arrived(const std::string& id);
   /// Waits for the end of the connection and counts it for wait_ended().
   void hang(Socket& socket);
+  /// Waits for the next request, and while the behavior is `stop_reading` leaves it unread.
+  void await_request(Socket& socket);
   /// The answer to `SHOW health`, the gateway's probe: replication position, role and pending requests.
   std::string health() const;
   /// Counts a prepared statement.
@@ -132,7 +138,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> seen_;
-  std::size_t ended_ = 0;  // connections, while their request hung
+  std::size_t ended_ = 0;            // connections, while their request hung
+  std::size_t given_up_unread_ = 0;  // connections, see wait_given_up_unread()
   std::size_t prepared_ = 0;
   bool stopping_ = false;
   std::string raw_;
