Rig: an attempt counts when its host reads it, also on a connection that has ended

The rig excused a statement that was read on a connection which the gateway had closed: it counted as ended before the next attempt. The excuse is taken out. AttemptOnAnEndedConnectionDoesNotCountAsConcurrent asserted it and is replaced by two stricter tests: such an attempt is a second one beside an attempt that is out, and is over at once beside none.

Rig.RulesHoldWhenHostsPauseTheirReading pauses hosts for 150 to 400 ms and cuts links for 300 ms.

--- a/src/tools/rig/rules.cpp
+++ b/src/tools/rig/rules.cpp
@@ -138,7 +138,7 @@
   if (request.client_left && !connection_ended &&
       at > *request.client_left + limits_.client_exit_deadline + limits_.grace && !excused(request, at))
     report("nothing for one that left", id, "sent on behind its client's leaving");
-  for (std::size_t i = 0; i < number && !connection_ended; ++i)
+  for (std::size_t i = 0; i < number; ++i)
     if (!request.attempts[i].ended) {
       report("never two at once", id, "sent while an attempt was out");
       break;
--- a/src/tools/rig/rules.h
+++ b/src/tools/rig/rules.h
@@ -95,8 +95,9 @@
     if (periods.size() > max_excused_periods) periods.erase(periods.begin());
   }
   /// A host received a complete statement; returns the index of the attempt. `connection_ended`: the gateway
-  /// had already closed the connection, as when a cut link heals; such a statement may have been sent before
-  /// others that arrived earlier.
+  /// had already closed the connection or ended its sending, as when a cut link heals: the attempt ends at
+  /// once. It counts as concurrent with an earlier one that is in flight: the host has read it, whenever it
+  /// was sent.
   std::size_t on_attempt(const std::string& id, int gateway, int host, int group, Duration work, Time at,
                          bool connection_ended = false);
   /// The client was served a value that no host returned for the request.
--- a/tests/rig_test.cpp
+++ b/tests/rig_test.cpp
@@ -186,13 +186,23 @@
   }
 }
 
-TEST(RigRules, AttemptOnAnEndedConnectionDoesNotCountAsConcurrent) {
+TEST(RigRules, AttemptReadOnAnEndedConnectionIsConcurrentWithOneThatIsOut) {
   RuleFixture fixture;
   fixture.request("x", 0);
-  fixture.send("x", 2);  // the later attempt, over a healthy link
+  const auto out = fixture.send("x", 2);  // written later than the next one, read first
+  fixture.rules.on_attempt("x", 0, 1, 0, 50ms, fixture.now += 1ms, true);
+  EXPECT_EQ(fixture.violated_rule("x"), "never two at once");
+  fixture.end_attempt("x", out, AttemptEnd::served);
+}
+
+TEST(RigRules, AttemptReadOnAnEndedConnectionEndsAtOnce) {
+  RuleFixture fixture;
+  fixture.request("x", 0);
+  fixture.end_attempt("x", fixture.send("x", 2), AttemptEnd::error);
   fixture.rules.on_attempt("x", 0, 1, 0, 50ms, fixture.now += 1ms, true);
-  EXPECT_EQ(fixture.violated_rule(""), "");
   fixture.rules.on_attempt("x", 0, 3, 0, 50ms, fixture.now += 1ms, false);
+  EXPECT_EQ(fixture.violated_rule(""), "");
+  fixture.rules.on_attempt("x", 0, 4, 0, 50ms, fixture.now += 1ms, false);
   EXPECT_EQ(fixture.violated_rule("x"), "never two at once");
 }
 
@@ -581,6 +591,24 @@
   EXPECT_GT(outcome.result["worth_served"].GetDouble(), 0.8);
 }
 
+// Guards against a second copy: a host that goes on reads what was given up while it paused.
+TEST(Rig, RulesHoldWhenHostsPauseTheirReading) {
+  const auto outcome = run_scenario(
+      R"({"name":"pauses","seed":1,"gateways":3,"groups":2,"members":3,"zones":["a","b"],"seconds":9,
+    "warm_up_s":1,"load":0.5,"faults":[
+      {"at_s":1.2,"do":"silent","on":{"of":"hosts","numbers":[1,4]},"for_s":0.15},
+      {"at_s":2,"do":"silent","on":{"of":"hosts","numbers":[2,5]},"for_s":0.2},
+      {"at_s":2.8,"do":"silent","on":{"of":"hosts","numbers":[1,4]},"for_s":0.25},
+      {"at_s":3.6,"do":"silent","on":{"of":"hosts","numbers":[2,5]},"for_s":0.3},
+      {"at_s":4.5,"do":"silent","on":{"of":"hosts","numbers":[1,4]},"for_s":0.35},
+      {"at_s":5.5,"do":"silent","on":{"of":"hosts","numbers":[2,5]},"for_s":0.4},
+      {"at_s":6.5,"do":"cut","on":{"of":"gateways"},"to":{"of":"hosts","numbers":[1,4]},"for_s":0.3},
+      {"at_s":7.3,"do":"cut","on":{"of":"gateways"},"to":{"of":"hosts","numbers":[2,5]},"way":"there",
+        "for_s":0.3}]})");
+  expect_rules_kept(outcome);
+  EXPECT_GT(outcome.result["worth_served"].GetDouble(), 0.8);
+}
+
 TEST(Rig, RulesHoldWhenAThirdOfThirtyGatewaysPausesAndResumes) {
   const auto outcome = run_scenario(
       R"({"name":"stop","gateways":30,"groups":3,"members":3,"zones":["a","b","c"],"seconds":8,"warm_up_s":1,
