Router: say of unconfirmed attempts what the code does, also after a lost connection

Found on reading the change again: the comment named cancelled attempts only, but a connection that this side ends for lack of memory, or at a time limit, ends its attempt as unconfirmed too; and confirm_by is zero also where the settings allow second copies. Comments and a glossary entry; no code changes.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -204,8 +204,9 @@
   // For Outcome::connect_failed: whether the connect timeout expired. Otherwise the connection may have been
   // refused.
   bool connect_timed_out = false;
-  // For Outcome::cancelled: the host has not shown by Cancel::confirm_by whether it has read the request, so
-  // it may still read it at any time.
+  // The request was written, the caller has ended the connection, and the host has not shown whether it has
+  // read the request: it may still read it at any time. So ends a cancelled attempt whose host has shown
+  // nothing by Cancel::confirm_by.
   bool unconfirmed = false;
 };
 /// The first part of an answer was passed on to the client, so the request cannot be retried any more.
@@ -255,7 +256,7 @@
 struct Cancel {
   RequestId request;
   std::uint32_t attempt = 0;
-  Time confirm_by{};  // zero: the request has ended, so close the connection at once
+  Time confirm_by{};  // zero: close the connection and report the end at once
 };
 /// Reject the request. The client may safely send it again; a keyed request that may have run, only with the
 /// same key and within its deduplication window, which the router does not check.
