Review: give each gateway of a case a seed of its own

The deployment page says that a gateway's seed is new with each start; the cases gave all gateways the same one.

--- a/review/support/settings.h
+++ b/review/support/settings.h
@@ -70,8 +70,9 @@
                                   const std::string& discovery, const std::string& known,
                                   const std::string& settings) {
   return R"({"name":")" + name + R"(","listen":")" + address + R"(","discovery":")" + discovery +
-         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" +
-         known + R"(,"settings":)" + settings + "}";
+         R"(","seed":"8c1f30d27a5be96)" + name.back() +
+         R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" + known + R"(,"settings":)" +
+         settings + "}";
 }
 
 }  // namespace lab
