--- a/review/support/lab.h
+++ b/review/support/lab.h
@@ -93,8 +93,19 @@
       const auto sent = ::send(fd_, out_.data(), out_.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
       if (sent <= 0) return;
       out_.erase(0, static_cast<std::size_t>(sent));
+      written_ += static_cast<std::uint64_t>(sent);
+      while (!marks_.empty() && marks_.front().first <= written_) {
+        const auto handler = std::move(marks_.front().second);
+        marks_.pop_front();
+        handler();
+      }
     }
   }
+  /// Calls `handler` once the kernel has taken all that has been passed to send() so far.
+  void when_written(Handler handler) {
+    if (out_.empty()) return handler();
+    marks_.emplace_back(written_ + out_.size(), std::move(handler));
+  }
   void close() {
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
@@ -134,6 +145,8 @@
   int fd_;
   std::string out_;
   std::uint64_t passed_ = 0;
+  std::uint64_t written_ = 0;
+  std::deque<std::pair<std::uint64_t, Handler>> marks_;  // by the byte that has to be written
 };
 using LinkPtr = std::shared_ptr<Link>;
 
@@ -151,6 +164,8 @@
     links_.push_back(link);
     return link;
   }
+  /// No byte that is being handled can have come before this time, however late this program is.
+  [[nodiscard]] double arrived_from() const { return arrived_from_; }
   void run_until(double end_ms) {
     while (now_ms() < end_ms) step(end_ms);
   }
@@ -178,7 +193,12 @@
     timespec timeout{
         static_cast<time_t>(wait / 1000),
         static_cast<long>((wait - 1000 * static_cast<double>(static_cast<long>(wait / 1000))) * 1e6)};
+    const double before = now_ms();
     const int ready = ::ppoll(polled.data(), polled.size(), &timeout, nullptr);
+    const double after = now_ms();
+    // What was there already has come since the last look; what was waited for has come now.
+    arrived_from_ = after - before < 0.1 ? looked_at_ : before;
+    looked_at_ = after;
     while (!timers_.empty() && timers_.begin()->first <= now_ms()) {
       const auto handler = std::move(timers_.begin()->second);
       timers_.erase(timers_.begin());
@@ -200,6 +220,8 @@
       if (link->open() && (polled[i].revents & ~POLLOUT) != 0) link->read_ready();
     }
   }
+  double looked_at_ = now_ms();
+  double arrived_from_ = looked_at_;
   std::multimap<double, Handler> timers_;
   std::map<int, std::function<void(int)>> listeners_;
   std::vector<LinkPtr> links_;
@@ -317,7 +339,8 @@
   int connection = 0;  // number of the connection at all hosts
   std::string sql, id, class_name, key;
   double read_at = 0;
-  double wait_ms = 0;  // `d`
+  double arrived_from = 0;  // its last byte has not come before
+  double wait_ms = 0;       // `d`
   bool write = false;
 };
 
@@ -428,6 +451,7 @@
       query.connection = number;
       query.sql = body;
       query.read_at = now_ms();
+      query.arrived_from = loop_.arrived_from();
       auto fields = comment_fields(body);
       query.id = fields["id"];
       query.class_name = fields["c"];
@@ -611,6 +635,9 @@
   }
   [[nodiscard]] bool open() const { return link_ && link_->open(); }
   [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
+  void when_written(Handler handler) {
+    if (open()) link_->when_written(std::move(handler));
+  }
   void query(const std::string& sql, Done done) {
     waiting_.push_back(std::move(done));
     if (!open()) return fail_all();
