Metrics: memory reserved for long statements, and statements that wait for it

Nothing told a statement that still waits for memory from one that has been given memory and is not read on: both look like an open connection without a request.

A stand-in host counts the answers that it has sent.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -427,7 +427,7 @@
 
 std::string Gateway::metrics() {
   telemetry::Metrics metrics;
-  for (auto& service : services_) service->broker().collect_metrics(metrics);
+  for (auto& service : services_) service->collect_metrics(metrics);
   metrics.config_applied = configs_applied_;
   metrics.config_rejected = configs_rejected_;
   return telemetry::to_prometheus(metrics);
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -219,6 +219,12 @@
   if (config) start_levels(*config);
 }
 
+void Service::collect_metrics(telemetry::Metrics& out) {
+  broker_.collect_metrics(out);
+  out.statement_bytes += clients_.memory_budget().used();
+  out.statements_waiting += clients_.memory_budget().waiting();
+}
+
 void Service::open_watch() {
   if (discovery_) return discovery_->open_once();
   auto list = zone_ ? zone_->list() : known_list_;
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -121,6 +121,8 @@
   /// Null if no levels have been configured since the start.
   [[nodiscard]] LevelsRunner* levels() { return levels_ ? &*levels_ : nullptr; }
   [[nodiscard]] broker::Broker& broker() { return broker_; }
+  /// Adds this service's counters and gauges to `out`.
+  void collect_metrics(telemetry::Metrics& out);
 
  private:
   /// Requests the host list from its source; without one, the list at the start is applied again.
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -43,6 +43,10 @@
   append_value("pool_size", "gauge", metrics.pool_size, "Database hosts in the list.");
   append_value("pool_ejected", "gauge", metrics.pool_ejected,
                "Listed database hosts avoided now, by hand or by choice.");
+  append_value("statement_bytes", "gauge", metrics.statement_bytes,
+               "Bytes of memory reserved for long statements.");
+  append_value("statements_waiting", "gauge", metrics.statements_waiting,
+               "Long statements that wait for memory.");
   append_value("config_applied", "counter", metrics.config_applied, "Files taken at SIGHUP.");
   append_value("config_rejected", "counter", metrics.config_rejected, "Files turned down at SIGHUP.");
   return out;
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -32,6 +32,8 @@
   std::uint64_t active = 0;                    // requests accepted and not ended
   std::uint64_t pool_size = 0;                 // listed hosts
   std::uint64_t pool_ejected = 0;              // listed hosts disabled by operators or avoided now
+  std::uint64_t statement_bytes = 0;           // reserved for long statements
+  std::uint64_t statements_waiting = 0;        // clients whose long statement waits for memory
   std::uint64_t config_applied = 0;            // configuration files read at SIGHUP and applied
   std::uint64_t config_rejected = 0;           // configuration files read at SIGHUP and rejected
 };
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -217,6 +217,7 @@
   void on_lingering(Client* client);
   /// The memory for long commands.
   broker::MemoryBudget& memory_budget() { return *memory_budget_; }
+  [[nodiscard]] const broker::MemoryBudget& memory_budget() const { return *memory_budget_; }
   void set_memory_budget(std::size_t bytes) { memory_budget_->set_total(bytes); }
   broker::Broker& broker() { return broker_; }
 
--- /dev/null
+++ b/tests/long_values_test.cpp
@@ -0,0 +1,326 @@
+// Long values over real sockets: rows that are streamed to clients, and statements that wait for memory.
+//
+// Answers are compared by the types of their PostgreSQL messages: TDCZ is a row description, a row, the
+// command completion and ReadyForQuery, so the request was served. The request classes are those of
+// config_json().
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "broker/memory_budget.h"
+#include "support/service.h"
+#include "wire/pg.h"
+
+namespace cedarring::test {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// Bytes of a row before its only value: type, length of the message, number of columns, length of the value.
+constexpr std::size_t row_header_size = 1 + 4 + 2 + 4;
+const std::string command_complete = PgStandIn::message('C', std::string("SELECT 1") + '\0');
+const std::string ready_for_query = PgStandIn::message('Z', "I");
+
+/// A value that contains its own offset every 1000 bytes, so that lost or moved bytes are detected.
+std::string long_value(std::size_t size) {
+  std::string value(size, 'x');
+  for (std::size_t i = 0; i < size; i += 1000)
+    value.replace(
+        i, std::min<std::size_t>(8, size - i),
+        std::to_string(i).substr(0, size - i).append(8, ' ').substr(0, std::min<std::size_t>(8, size - i)));
+  return value;
+}
+/// The row description of PgStandIn::row().
+std::string row_description() {
+  const auto row = PgStandIn::row("x");
+  return row.substr(0, row.find('D', 1));
+}
+
+TEST(LongValues, RowHeaderIsValidatedBeforeARowIsStreamed) {
+  constexpr std::size_t value_size = 100'000;
+  constexpr std::size_t row_size = row_header_size + value_size;
+  constexpr std::size_t buffer_size = 65'600;
+  constexpr std::size_t max_row_size = 1 << 20;
+  const auto row = PgStandIn::row(std::string(value_size, 'x'));
+  const auto data_row = row.substr(row.find('D', 1), row_size);
+  const auto header = data_row.substr(0, row_header_size);
+  EXPECT_EQ(wire::pg::long_row_size(data_row, buffer_size, max_row_size), row_size);
+  EXPECT_EQ(wire::pg::long_row_size(header, buffer_size, max_row_size), row_size);
+  EXPECT_FALSE(wire::pg::long_row_size(header.substr(0, row_header_size - 1), buffer_size, max_row_size));
+  EXPECT_FALSE(wire::pg::long_row_size(data_row, row_size, max_row_size));   // not longer than the buffer
+  EXPECT_FALSE(wire::pg::long_row_size(data_row, buffer_size, value_size));  // above the limit for a row
+  for (const std::size_t i : {0, 5, 6, 7, 10}) {  // type, columns, the column's length
+    auto bad = header;
+    bad[i] ^= 1;
+    EXPECT_FALSE(wire::pg::long_row_size(bad, buffer_size, max_row_size)) << i;
+  }
+}
+
+/// Reads a long answer slowly: the gateway closes a client that takes nothing for 10 s.
+class SlowReader {
+ public:
+  SlowReader(const std::string& address, std::size_t answer_bytes)
+      : client_(Socket::to(address, receive_buffer_bytes)), remaining_(answer_bytes) {}
+  PgClient& client() { return client_; }
+  /// Reads `bytes` of the answer.
+  bool read(std::size_t bytes) {
+    remaining_ -= bytes;
+    last_read_ = Clock::now();
+    return client_.socket.read(bytes).has_value();
+  }
+  /// Reads a small part if the last one was read some time ago.
+  bool keep_connection() {
+    return remaining_ <= receive_buffer_bytes || Clock::now() - last_read_ < keep_interval ||
+           read(receive_buffer_bytes);
+  }
+  /// Reads the rest of the answer.
+  bool read_rest() {
+    while (remaining_ > 0)
+      if (!read(std::min<std::size_t>(remaining_, receive_buffer_bytes))) return false;
+    return true;
+  }
+
+ private:
+  static constexpr int receive_buffer_bytes =
+      64 * 1024;  // the kernel cannot take a whole value for the client
+  static constexpr auto keep_interval = 3s;
+  PgClient client_;
+  std::size_t remaining_;
+  Clock::time_point last_read_ = Clock::now();
+};
+
+TEST(LongValues, ReachManySlowClientsCompleteWithinTheMemoryLimit) {
+  Service service;
+  // More than the kernel can take for a client: up to 4 MiB to be sent, and the receive buffer.
+  const auto value = long_value(std::size_t{7} << 20U);
+  PgClient quick(service.program->pg());
+  service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
+  const auto answer = quick.query(statement("a", "pay"));
+  EXPECT_EQ(answer.types, "TDCZ");
+  EXPECT_EQ(answer.value, value);
+  const std::size_t answer_bytes = row_description().size() + row_header_size + value.size() +
+                                   command_complete.size() + ready_for_query.size();
+  constexpr std::size_t first_part_size = 100;
+  std::vector<std::unique_ptr<SlowReader>> slow;
+  for (int i = 0; i < 40; ++i) {
+    slow.push_back(std::make_unique<SlowReader>(service.program->pg(), answer_bytes));
+    service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
+    slow.back()->client().socket.send(pg_query(statement("b" + std::to_string(i), "pay")));
+    ASSERT_TRUE(slow.back()->read(first_part_size));  // and little more until all clients have begun
+    for (auto& reader : slow) ASSERT_TRUE(reader->keep_connection());
+  }
+  EXPECT_EQ(service.metric_value("app_active"), 40);
+  EXPECT_LT(service.program->resident_kb(), memory_bounds_apply ? 32 * 1024 : 1 << 30);
+  for (std::size_t i = 0; i < slow.size(); ++i) {
+    ASSERT_TRUE(slow[i]->read_rest());
+    for (auto& reader : slow) ASSERT_TRUE(reader->keep_connection());
+    EXPECT_EQ(slow[i]->client().query(statement("c" + std::to_string(i), "pay")).types, "TDCZ");
+  }
+  EXPECT_EQ(service.metric_value("app_active"), 0);
+  // The quick one, and a long and a short one of each slow client.
+  EXPECT_EQ(service.metric_value("app_ok{kind=\"pay\"}"), 81);
+}
+
+// Guards against a client that is closed inside a value although it reads all the time: the kernel holds so
+// much of the value that the gateway can write nothing for more than 10 s.
+TEST(LongValues, ClientThatReadsSlowlyButSteadilyGetsTheWholeValue) {
+  Service service;
+  const auto value = long_value(std::size_t{7} << 20U);
+  const std::size_t answer_bytes = row_description().size() + row_header_size + value.size() +
+                                   command_complete.size() + ready_for_query.size();
+  SlowReader reader(service.program->pg(), answer_bytes);
+  service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
+  reader.client().socket.send(pg_query(statement("a", "pay")));
+  constexpr std::size_t part_size = 16 * 1024;
+  for (const auto start = Clock::now(); Clock::now() - start < 12s; std::this_thread::sleep_for(500ms))
+    ASSERT_TRUE(reader.read(part_size));
+  EXPECT_TRUE(reader.read_rest());
+  EXPECT_EQ(reader.client().query(statement("b", "pay")).types, "TDCZ");
+}
+
+TEST(LongValues, TruncatedAnswerClosesTheClientAndIsNotRetried) {
+  Service service;
+  PgClient client(service.program->pg());
+  service.primary.close_after_raw = true;
+  const auto row = PgStandIn::row(long_value(1'000'000));
+  service.primary.answer_once_with(row.substr(0, row.size() / 2));
+  const auto answer =
+      client.query(statement("a", "gate"));  // safe to retry, but a part of the answer has been forwarded
+  EXPECT_EQ(answer.types, "T");
+  EXPECT_TRUE(client.socket.ended());
+  EXPECT_EQ(service.primary.count(), 1U);
+  EXPECT_EQ(service.metric_value("app_errors{kind=\"gate\"}"), 1);
+  service.primary.close_after_raw = false;
+  PgClient next(service.program->pg());
+  EXPECT_EQ(next.query(statement("b", "gate")).types, "TDCZ");
+}
+
+TEST(LongValues, PipelinedAnswersStayInOrder) {
+  Service service;
+  PgClient client(service.program->pg());
+  const auto value = long_value(300'000);
+  service.replica.behavior = Behavior::hold;
+  service.primary.behavior = Behavior::hold;
+  client.socket.send(pg_query(statement("a", "pay")));
+  ASSERT_TRUE(service.primary.wait_for(1));
+  service.primary.answer_once_with(PgStandIn::row(value) + ready_for_query);
+  // The new behavior released the first request; the second gets the long answer while the answer to the
+  // first may still be in transit.
+  client.socket.send(pg_query(statement("b", "pay")));
+  EXPECT_EQ(client.read_answer().value, "from " + service.primary.address());
+  EXPECT_EQ(client.read_answer().value, value);
+}
+
+TEST(MemoryBudget, ReservationsAreGrantedInOrderAndNeverAboveTheTotal) {
+  std::uint64_t random_state = 7;
+  const auto draw = [&](std::size_t bound) {
+    return static_cast<std::size_t>((random_state = random_state * 6364136223846793005ULL + 1) >> 33U) %
+           bound;
+  };
+  constexpr std::size_t total = 1000;
+  int freed = 0;
+  auto budget = std::make_shared<broker::MemoryBudget>(total, [&] { ++freed; });
+  std::vector<char> owners(20);  // the address of each identifies an owner
+  std::map<const void*, broker::MemoryBudget::Reservation> reservations;
+  std::map<const void*, std::size_t> requested_bytes;
+  std::vector<const void*> waiting;
+  for (int i = 0; i < 20'000; ++i) {
+    const void* owner = &owners[draw(owners.size())];
+    if (reservations.count(owner) > 0) {
+      reservations.erase(owner);
+    } else if (requested_bytes.count(owner) > 0 && draw(8) == 0) {
+      budget->stop_waiting(owner);
+      requested_bytes.erase(owner);
+      waiting.erase(std::find(waiting.begin(), waiting.end(), owner));
+    } else {
+      const auto bytes = requested_bytes.count(owner) > 0 ? requested_bytes[owner] : 1 + draw(1200);
+      broker::MemoryBudget::Reservation reservation;
+      if (budget->try_reserve(owner, bytes, reservation)) {
+        if (!waiting.empty()) {
+          ASSERT_EQ(waiting.front(), owner);  // no waiter is overtaken
+          waiting.erase(waiting.begin());
+        }
+        requested_bytes.erase(owner);
+        reservations[owner] = std::move(reservation);
+      } else if (requested_bytes.emplace(owner, bytes).second) {
+        waiting.push_back(owner);
+      }
+    }
+    std::size_t sum = 0;
+    for (const auto& [key, held] : reservations) sum += held.bytes();
+    ASSERT_EQ(budget->used(), sum);
+    ASSERT_TRUE(sum <= total || reservations.size() == 1);  // a larger one is granted alone
+    ASSERT_EQ(budget->waiting(), waiting.size());
+    // If nothing is reserved, the first waiter may always proceed.
+    ASSERT_TRUE(!reservations.empty() || waiting.empty() || budget->next_waiter() == waiting.front());
+  }
+  EXPECT_GT(freed, 0);
+  budget->close();
+}
+
+/// A write whose value is `extra_bytes` longer than that of statement().
+std::string long_statement(const std::string& id, std::size_t extra_bytes,
+                           const std::string& contract = "pay") {
+  const auto base = statement(id, contract, 9000);
+  const auto at = base.find("\\x9f");
+  return base.substr(0, at + 4) + std::string(extra_bytes, 'a') + base.substr(at + 4);
+}
+
+/// Clients that have each sent the beginning of a long command, and go on slowly until finish(): the gateway
+/// closes a client of whose command no byte arrives for 2.5 s.
+class SlowWriters {
+ public:
+  SlowWriters(const std::string& address, const std::vector<std::string>& queries) : queries_(queries) {
+    trickle_ = std::thread([this] { send_slowly(); });
+    for (std::size_t i = 0; i < queries.size(); ++i) {
+      auto client = std::make_unique<PgClient>(address);
+      client->socket.send(std::string_view(queries[i]).substr(0, first_part_size));
+      const std::lock_guard lock(mutex_);
+      clients_.push_back(std::move(client));
+      sent_.push_back(first_part_size);
+    }
+  }
+  ~SlowWriters() { stop(); }
+  /// Completes all commands at the same time; returns how many are served.
+  int finish() {
+    stop();
+    std::vector<std::thread> writers;
+    std::atomic<int> served{0};
+    for (std::size_t i = 0; i < clients_.size(); ++i)
+      writers.emplace_back([&, i] {
+        clients_[i]->socket.send(std::string_view(queries_[i]).substr(sent_[i]));
+        served += clients_[i]->read_answer().types == "TDCZ" ? 1 : 0;
+      });
+    for (auto& writer : writers) writer.join();
+    return served;
+  }
+
+ private:
+  static constexpr std::size_t first_part_size = 100;
+  static constexpr auto interval = 500ms;
+  void send_slowly() {
+    std::unique_lock lock(mutex_);
+    while (!stopped_.wait_for(lock, interval, [this] { return stopping_; }))
+      for (std::size_t i = 0; i < clients_.size(); ++i)
+        clients_[i]->socket.send(std::string_view(queries_[i]).substr(sent_[i]++, 1));
+  }
+  void stop() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    stopped_.notify_all();
+    if (trickle_.joinable()) trickle_.join();
+  }
+  const std::vector<std::string>& queries_;
+  std::mutex mutex_;
+  std::condition_variable stopped_;
+  bool stopping_ = false;
+  std::vector<std::unique_ptr<PgClient>> clients_;
+  std::vector<std::size_t> sent_;  // bytes of each query
+  std::thread trickle_;
+};
+
+TEST(LongValues, ManyLongStatementsReachTheHostCompleteWithinTheMemoryLimit) {
+  Service service;
+  PgClient client(service.program->pg());
+  EXPECT_EQ(client.query(long_statement("whole", std::size_t{4} << 20U)).types, "TDCZ");
+  EXPECT_EQ(service.primary.seen(), std::vector<std::string>{"whole"});
+  EXPECT_EQ(service.primary.longest_statement(), long_statement("whole", std::size_t{4} << 20U).size());
+  // All clients begin a long statement before any completes it; a short one is served meanwhile.
+  std::vector<std::string> queries;
+  for (int i = 0; i < 40; ++i)
+    queries.push_back(pg_query(long_statement("m" + std::to_string(i), std::size_t{4} << 20U)));
+  SlowWriters many(service.program->pg(), queries);
+  EXPECT_EQ(client.query(statement("short", "pay")).types, "TDCZ");
+  EXPECT_LT(service.program->resident_kb(), memory_bounds_apply ? 96 * 1024 : 1 << 30);
+  const int served = many.finish();
+  EXPECT_EQ(served, 40);
+  EXPECT_EQ(service.primary.count(), 42U);  // with `whole` and `short`
+  EXPECT_EQ(service.metric_value("app_ok{kind=\"pay\"}"), 42);
+  EXPECT_EQ(service.metric_value("app_tries{kind=\"pay\"}"), 42);
+}
+
+TEST(LongValues, RetriedStatementIsSentCompleteAndAnOversizedOneIsRejectedAtOnce) {
+  Service service;
+  PgClient client(service.program->pg());
+  service.primary.behavior = Behavior::reset_once;
+  EXPECT_EQ(client.query(long_statement("a", 1'000'000, "bid")).types, "TDCZ");
+  EXPECT_EQ(service.primary.seen(), (std::vector<std::string>{"a", "a"}));
+  client.socket.send(std::string("Q\x7f\xff\xff\xff", 5));  // a query of 2 GiB
+  EXPECT_EQ(client.read_answer().code, "08P01");
+  PgClient leaving(service.program->pg());  // resets in the middle of a statement: the host never sees it
+  leaving.socket.send(pg_query(long_statement("b", 1'000'000)).substr(0, 500'000));
+  leaving.socket.reset();
+  PgClient next(service.program->pg());
+  EXPECT_EQ(next.query(long_statement("c", std::size_t{8} << 20U)).types, "TDCZ");
+  EXPECT_EQ(service.primary.count(), 3U);
+}
+
+}  // namespace
+}  // namespace cedarring::test
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -331,10 +331,12 @@
       case Behavior::hold:
         while (behavior == Behavior::hold) std::this_thread::sleep_for(1ms);
         socket.send(answer());
+        ++answered;
         break;
       case Behavior::serve:
       case Behavior::stop_reading:
         socket.send(answer());
+        ++answered;
         break;
       case Behavior::serve_and_close:
         socket.send(answer(), true);
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -93,6 +93,8 @@
   std::atomic<int> connection_limit{1 << 20};
   /// Number of connections that were rejected for `connection_limit`.
   std::atomic<int> rejected_connections{0};
+  /// Number of answers sent to requests (PostgreSQL only).
+  std::atomic<int> answered{0};
   /// While false, probes are read but not answered (PostgreSQL only).
   std::atomic<bool> answers_probes{true};
   /// Number of unanswered probes whose connections are open.
