Clients: a long statement that has waited for memory is read on whoever asks for it

Cause: a client without memory stops reading and queues. Memory was given in reserve_memory, reading resumed in on_memory_available, which a timer calls for the first in the queue after a release. An answer to an earlier command of the same client also processes its input: if memory has been released earlier in the same turn of the loop, that call gets the memory and takes the client off the queue, the timer does not find it, and its reading stays paused.

Evidence: with four statements of 2 MB answered in one turn and a fifth waiting, app_statement_bytes stood at 2,000,103, app_statements_waiting at 0 and app_active at 0: memory given, nobody waiting, nothing read.

Fix: reserve_memory pauses or resumes the reading by its result, so the two cannot part whoever calls it.

--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -171,9 +171,11 @@
 }
 
 bool Client::reserve_memory(std::size_t bytes, broker::MemoryBudget::Reservation& out) {
-  if (owner_.memory_budget().try_reserve(this, bytes, out)) return true;
-  set_reading_paused(true);
-  return false;
+  const bool reserved = owner_.memory_budget().try_reserve(this, bytes, out);
+  if (reserved && reading_paused())
+    waiting_since_ = loop_.now();  // the time spent waiting for memory does not count against the client
+  set_reading_paused(!reserved);
+  return reserved;
 }
 
 void Client::on_command_progress() {
@@ -181,11 +183,7 @@
   (void)arrival_time();  // drops entries for input that has been taken
 }
 
-void Client::on_memory_available() {
-  waiting_since_ = loop_.now();  // the time spent waiting for memory does not count against the client
-  set_reading_paused(false);
-  process_commands();
-}
+void Client::on_memory_available() { process_commands(); }
 
 void Client::close_and_cancel() {
   owner_.memory_budget().stop_waiting(this);
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -95,8 +95,9 @@
 
   /// Whether a command that exceeds the input buffer is being read into separate memory.
   [[nodiscard]] virtual bool reading_long_command() const { return false; }
-  /// Reserves memory for a long command of `bytes`. Returns false if there is none: reading pauses until
-  /// memory is available, then process_command() is called again.
+  /// Reserves memory for a long command of `bytes`. Returns false if there is none: reading pauses until a
+  /// later call succeeds. Such a call comes from process_command(), which runs again when memory is
+  /// available, and also after each answer to an earlier command.
   bool reserve_memory(std::size_t bytes, broker::MemoryBudget::Reservation& out);
   /// To be called when a part of a long command has been taken from in_: its time limit restarts.
   void on_command_progress();
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -322,5 +322,58 @@
   EXPECT_EQ(service.primary.count(), 3U);
 }
 
+/// A service whose memory for long statements, 8 MiB, is filled by statements that the primary holds.
+class LongStatements : public testing::Test {
+ protected:
+  static constexpr std::size_t statement_bytes = 2'000'000;
+  static constexpr int statements_that_fit = 4;
+  LongStatements() { service_.primary.behavior = Behavior::hold; }
+  /// Waits until this many long statements wait for memory.
+  void wait_for_waiting(int statements) const {
+    while (service_.metric_value("app_statements_waiting") != statements) std::this_thread::yield();
+  }
+  /// Lets the primary answer the held statements while the gateway is suspended, so that the gateway finds
+  /// all answers in one turn of its event loop.
+  void answer_at_once(int statements) {
+    service_.program->suspend();
+    service_.primary.behavior = Behavior::serve;
+    while (service_.primary.answered < statements) std::this_thread::yield();
+    service_.program->signal(SIGCONT);
+  }
+  Service service_{"1024", "32"};
+};
+
+/// Sends bytes from a thread of its own, since the gateway may stop reading them.
+class BackgroundSender {
+ public:
+  BackgroundSender(Socket& socket, std::string bytes)
+      : socket_(socket), thread_([this, bytes = std::move(bytes)] { socket_.send(bytes); }) {}
+  ~BackgroundSender() {
+    socket_.shut_down();  // wakes the thread if it still sends
+    thread_.join();
+  }
+
+ private:
+  Socket& socket_;
+  std::thread thread_;
+};
+
+// Guards against a statement that has waited for memory and is never read on, whose memory then stays
+// reserved: answers to earlier commands of its client arrive together, and the second one lets it have the
+// memory.
+TEST_F(LongStatements, StatementThatGetsMemoryWithAnAnswerToItsOwnClientIsReadOn) {
+  PgClient client(service_.program->pg());
+  std::string queries;
+  for (int i = 0; i <= statements_that_fit; ++i)
+    queries += pg_query(long_statement("a" + std::to_string(i), statement_bytes));
+  const BackgroundSender sender(client.socket, queries);
+  ASSERT_TRUE(service_.primary.wait_for(statements_that_fit));
+  wait_for_waiting(1);
+  answer_at_once(statements_that_fit);
+  for (int i = 0; i <= statements_that_fit; ++i) ASSERT_EQ(client.read_answer().types, "TDCZ") << i;
+  EXPECT_EQ(service_.metric_value("app_statements_waiting"), 0);
+  EXPECT_EQ(service_.metric_value("app_statement_bytes"), 0);
+}
+
 }  // namespace
 }  // namespace cedarring::test
