Retries: a repeat of a keyed request is written within its deduplication window or not at all

Cause: the window was looked at when the router decided, not when the statement was written. In between lie the connect and handshake (up to the full connect timeout), a PREPARE on the MySQL front end, and the rest of a long statement.

Fix: Send::write_by, the window's end by the first attempt that may have run, computed once for the decision and the limit. HostConnection checks it before the last part of a request and ends the attempt at that time while the last byte is not written. What is not written whole has not run, so it ends as not sent, without a mark against the host, and the client is answered then.

The two front ends of the tests move into tests/support/front_end.h.

--- a/include/cedarring/router.h
+++ b/include/cedarring/router.h
@@ -242,6 +242,11 @@
   RequestId request;
   HostId host;
   Time give_up_at{};  // end the attempt at this time; zero: no limit of its own
+  // The last byte of the request must be written before this time; if it is not, the attempt ends as not
+  // sent. Zero: no limit. Set for a repeat of a keyed request, which its host drops only within the
+  // deduplication window of the first attempt, while a connect, a handshake or a long statement takes its
+  // time.
+  Time write_by{};
   // Wait for a slow connection up to the full connect timeout instead of the adaptive one: no other host can
   // take the request, or it is a retry already.
   bool use_full_connect_timeout = false;
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -55,6 +55,15 @@
   return answer;
 }
 
+/// The limits of an attempt at a request with this deadline.
+AttemptLimits limits_of(const Send& send, Time deadline) {
+  AttemptLimits limits;
+  limits.give_up_at = send.give_up_at > Time::zero() ? std::min(send.give_up_at, deadline) : deadline;
+  if (send.write_by > Time::zero()) limits.write_by = send.write_by;
+  limits.use_full_connect_timeout = send.use_full_connect_timeout;
+  return limits;
+}
+
 /// The result of an attempt that ended by the broker's decision, without an answer of the host.
 AttemptResult result_without_answer(Outcome outcome) {
   AttemptResult result;
@@ -525,8 +534,7 @@
   request.attempts.push_back({send.host, now, true});
   ++request.attempts_in_flight;
   const AttemptKey key{send.request, number};
-  const Time give_up_at =
-      send.give_up_at > Time::zero() ? std::min(send.give_up_at, request.deadline) : request.deadline;
+  const auto limits = limits_of(send, request.deadline);
   const auto consulted_end = gates_.begin() + static_cast<std::ptrdiff_t>(request.gates_consulted);
   const bool retry_barred = number > 0 && std::any_of(gates_.begin(), consulted_end, [&](auto* gate) {
                               return !gate->may_retry(request.gate_request, now);
@@ -535,11 +543,10 @@
   if (!request.ended && check_client && request.sink && request.sink->client_gone())
     return client_left(send.request);
   // A request that ended while this action was queued is not sent: its answer is no longer awaited.
-  if (request.ended || retry_barred || clock_() >= give_up_at)
+  if (request.ended || retry_barred || clock_() >= std::min(limits.give_up_at, limits.write_by))
     return attempt_ended(key, result_without_answer(Outcome::not_sent));
   const auto payload = request.payload;
-  upstream_.start(key, send.host, hosts_.address(send.host), payload, give_up_at,
-                  send.use_full_connect_timeout);
+  upstream_.start(key, send.host, hosts_.address(send.host), payload, limits);
 }
 
 /// Ends a request that was not served, and gives the client its final answer.
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -78,6 +78,17 @@
   std::uint32_t number = 0;
 };
 
+/// The limits in time of an attempt, see cedarring::Send.
+struct AttemptLimits {
+  /// The attempt ends then at the latest. Applies until the first part of a long answer: from then on only a
+  /// stall ends the attempt early.
+  Time give_up_at{};
+  /// The attempt ends as not sent if the last byte of its request has not been written before.
+  Time write_by = Time::max();
+  /// Whether a slow connection is awaited up to the full connect timeout, instead of the adaptive one.
+  bool use_full_connect_timeout = true;
+};
+
 /// How an attempt ended, as reported by the upstream.
 struct AttemptResult {
   Outcome outcome = Outcome::ok;
@@ -96,13 +107,9 @@
 class Upstream {
  public:
   virtual ~Upstream() = default;
-  /// Starts an attempt, which sends `payload` to the host at `address` and ends by `give_up_at` at the
-  /// latest. That limit ends with the first part of a long answer: from then on only a stall ends the attempt
-  /// early. `use_full_connect_timeout`: wait for a slow connection up to the full connect timeout, see
-  /// cedarring::Send.
+  /// Starts an attempt, which sends `payload` to the host at `address` within `limits`.
   virtual void start(AttemptKey key, HostId host, const std::string& address,
-                     const std::shared_ptr<const RequestPayload>& payload, Time give_up_at,
-                     bool use_full_connect_timeout) = 0;
+                     const std::shared_ptr<const RequestPayload>& payload, const AttemptLimits& limits) = 0;
   /// Cancels an attempt. The broker ignores a result of the attempt that is reported afterwards.
   virtual void cancel(AttemptKey key) = 0;
   /// Gives up an attempt whose request may be sent again elsewhere, see cedarring::Cancel. The attempt stays
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -795,21 +795,23 @@
     if (request.may_have_run_at == forever && request.attempts_in_flight == 0) return true;
     if (request_class.idempotency == Idempotency::unsafe) return false;
     if (!target) return request_class.dedup_scope == DedupScope::all;
-    Time first_sent_at = request.may_have_run_at;
-    HostId first_host = request.may_have_run_on;
-    for (const auto& attempt : request.attempts)
-      if (attempt.in_flight && attempt.sent_at < first_sent_at) {
-        first_sent_at = attempt.sent_at;
-        first_host = attempt.host;
-      }
-    if (now_ - first_sent_at >= request_class.dedup_window - settings_.quantum) return false;
-    const auto it = hosts_.find(first_host);
+    if (now_ >= write_by(request)) return false;
+    const auto it = hosts_.find(request.first_possible_run().host);
     if (request_class.dedup_scope == DedupScope::all) return true;
     if (it == hosts_.end()) return false;
     return request_class.dedup_scope == DedupScope::zone ? it->second.zone == target->zone
                                                          : it->second.group == target->group;
   }
 
+  /// Until when a further attempt has to be written whole, so that a repeat of a keyed request that may have
+  /// run reaches its host within the deduplication window; `forever` without such a limit.
+  Time write_by(const Request& request) const {
+    const auto& request_class = settings_.classes[request.class_id.value];
+    const auto first_run = request.first_possible_run();
+    if (request_class.idempotency != Idempotency::keyed || first_run.sent_at == forever) return forever;
+    return first_run.sent_at + request_class.dedup_window - settings_.quantum;
+  }
+
   /// Adds a load sample of the host to its group and to all hosts of its role.
   void record_load(const Host& host, double sample) {
     const auto index = role_index(host.role == Role::primary);
@@ -1026,6 +1028,7 @@
 
   // ---- attempts ----
   void send(Request& request, Host& host) {
+    const Time limit = write_by(request);
     Attempt attempt;
     attempt.host = host.id;
     attempt.sent_at = now_;
@@ -1039,7 +1042,8 @@
     host.last_send_at = now_;
     const bool use_full_connect_timeout =
         requires_primary(request.class_id.value) || request.attempts.size() > 1;
-    actions_->push_back(Send{request.id, host.id, Time::zero(), use_full_connect_timeout});
+    actions_->push_back(Send{request.id, host.id, Time::zero(), limit == forever ? Time::zero() : limit,
+                             use_full_connect_timeout});
   }
 
   void on(const AttemptEnded& event) {
--- a/src/router/state.h
+++ b/src/router/state.h
@@ -144,6 +144,18 @@
   Time may_have_run_at = forever;  // send time of the earliest attempt that has ended and may have run
   HostId may_have_run_on{};        // host of that attempt
 
+  /// An attempt that may have run.
+  struct PossibleRun {
+    Time sent_at = forever;  // `forever`: no attempt may have run
+    HostId host{};
+  };
+  /// The earliest attempt that may have run; attempts in flight count.
+  PossibleRun first_possible_run() const {
+    PossibleRun first{may_have_run_at, may_have_run_on};
+    for (const auto& attempt : attempts)
+      if (attempt.in_flight && attempt.sent_at < first.sent_at) first = {attempt.sent_at, attempt.host};
+    return first;
+  }
   bool tried(HostId host) const {
     return std::any_of(
         attempts.begin(), attempts.end(), [&](const Attempt& attempt) { return attempt.host == host; });
--- a/src/tools/lab/simulation.cpp
+++ b/src/tools/lab/simulation.cpp
@@ -47,8 +47,8 @@
   SimulatedUpstream(Simulation& simulation, std::size_t gateway)
       : simulation_(simulation), gateway_(gateway) {}
   void start(broker::AttemptKey key, HostId host, const std::string& address,
-             const std::shared_ptr<const broker::RequestPayload>& payload, Time give_up_at,
-             bool use_full_connect_timeout) override;
+             const std::shared_ptr<const broker::RequestPayload>& payload,
+             const broker::AttemptLimits& limits) override;
   void cancel(broker::AttemptKey key) override;
   void give_up(broker::AttemptKey key, Time confirm_by) override;
   void probe(HostId host, const std::string& address) override;
@@ -577,8 +577,8 @@
 }
 
 void SimulatedUpstream::start(broker::AttemptKey key, HostId, const std::string& address,
-                              const std::shared_ptr<const broker::RequestPayload>& payload, Time give_up_at,
-                              bool /*use_full_connect_timeout*/) {
+                              const std::shared_ptr<const broker::RequestPayload>& payload,
+                              const broker::AttemptLimits& limits) {
   auto& timeline = simulation_.timeline;
   ++simulation_.result.attempts;
   if (key.number >= max_attempts) ++simulation_.result.excess_attempts;
@@ -622,7 +622,7 @@
     if (submitted != in_flight_.end() && submitted->second.serial == serial)
       submitted->second.job_number = job_number;
   });
-  timeline.at(give_up_at, [this, key, serial] {
+  timeline.at(limits.give_up_at, [this, key, serial] {
     const auto it = in_flight_.find(id_of(key));
     if (it == in_flight_.end() || it->second.serial != serial) return;
     const auto& overdue = it->second;
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -38,22 +38,28 @@
 void HostConnection::run(Job job) {
   job_ = std::move(job);
   submitted_ = sent_reported_ = streaming_ = false;
+  const auto connect_timeout = owner_.options().connect_timeout;
+  connect_by_ = job_->started_at + (job_->limits.use_full_connect_timeout
+                                        ? connect_timeout
+                                        : owner_.adaptive_connect_timeout().timeout(connect_timeout));
   reset();
   if (handshake_done_) submit();
   start_timer();
 }
 
+Time HostConnection::due() const {
+  auto due = job_->limits.give_up_at;
+  if (!request_sent()) due = std::min(due, job_->limits.write_by);
+  if (!handshake_done_) due = std::min(due, connect_by_);
+  return due;
+}
+
 void HostConnection::start_timer() {
-  if (!job_) return;
-  auto due = job_->give_up_at;
-  const auto connect_timeout = owner_.options().connect_timeout;
-  if (!handshake_done_) {
-    const auto allowed = job_->use_full_connect_timeout
-                             ? connect_timeout
-                             : owner_.adaptive_connect_timeout().timeout(connect_timeout);
-    due = std::min(due, job_->started_at + allowed);
-  }
-  timer_.start(seconds(due - owner_.now()));
+  if (job_) timer_.start(seconds(due() - owner_.now()));
+}
+
+bool HostConnection::too_late_to_write() const {
+  return !request_sent() && owner_.now() >= job_->limits.write_by;
 }
 
 void HostConnection::on_handshake_done() {
@@ -66,6 +72,10 @@
 }
 
 bool HostConnection::write_request(std::string_view bytes) {
+  if (too_late_to_write()) {
+    finish_not_sent();
+    return false;
+  }
   submitted_ = true;
   const bool written = write(bytes);
   if (written && out_.empty()) on_sent();
@@ -82,7 +92,7 @@
 
 std::int64_t HostConnection::remaining_ms() const {
   const auto remaining =
-      std::chrono::floor<std::chrono::milliseconds>(job_->give_up_at - owner_.now()).count();
+      std::chrono::floor<std::chrono::milliseconds>(job_->limits.give_up_at - owner_.now()).count();
   return std::max<std::int64_t>(remaining, 1);
 }
 
@@ -96,6 +106,9 @@
 
 void HostConnection::on_timeout(ev::timer&, int) {
   if (!job_) return;
+  // The limit that the timer was started for may have been met since, and the loop's time may be behind.
+  if (!streaming_ && !given_up_ && owner_.now() < due()) return start_timer();
+  if (too_late_to_write()) return finish_not_sent();
   auto result = result_of_loss(Loss::timeout);
   result.connect_timed_out = true;
   if (!handshake_done_) owner_.adaptive_connect_timeout().timed_out();
@@ -140,7 +153,7 @@
   given_up_ = true;
   shut_down_writing();
   timer_.stop();
-  timer_.start(seconds(std::min(confirm_by, job_->give_up_at) - owner_.now()));
+  timer_.start(seconds(std::min(confirm_by, job_->limits.give_up_at) - owner_.now()));
 }
 
 void HostConnection::finish_given_up() {
@@ -151,7 +164,10 @@
 
 void HostConnection::retire() {
   retired_ = true;
-  if (!job_ || submitted_) return;
+  if (job_ && !submitted_) finish_not_sent();
+}
+
+void HostConnection::finish_not_sent() {
   AttemptResult result;
   result.outcome = Outcome::not_sent;
   finish(std::move(result), false);
@@ -217,14 +233,16 @@
 }
 
 void SocketUpstream::start(broker::AttemptKey key, HostId host, const std::string& address,
-                           const std::shared_ptr<const broker::RequestPayload>& payload, Time give_up_at,
-                           bool use_full_connect_timeout) {
-  run(host, address, {key, payload, clock_(), give_up_at, use_full_connect_timeout});
+                           const std::shared_ptr<const broker::RequestPayload>& payload,
+                           const broker::AttemptLimits& limits) {
+  run(host, address, {key, payload, clock_(), limits});
 }
 
 void SocketUpstream::probe(HostId host, const std::string& address) {
   const auto now = clock_();
-  run(host, address, {std::nullopt, nullptr, now, now + options_.connect_timeout});
+  broker::AttemptLimits limits;
+  limits.give_up_at = now + options_.connect_timeout;
+  run(host, address, {std::nullopt, nullptr, now, limits});
 }
 
 void SocketUpstream::run(HostId host, const std::string& address, Job job) {
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -24,9 +24,7 @@
   std::optional<broker::AttemptKey> attempt;              // absent: a probe
   std::shared_ptr<const broker::RequestPayload> payload;  // null for a probe
   Time started_at{};
-  Time give_up_at{};  // applies until the first part of a streamed answer; then only a stall ends the attempt
-  // Instead of the adaptive connect timeout, see cedarring::Send; set for probes, too.
-  bool use_full_connect_timeout = true;
+  broker::AttemptLimits limits;
 };
 
 /// One connection to a host. It executes one job at a time, up to the complete answer, and never resends a
@@ -65,7 +63,8 @@
   void on_sent() final;
   /// To be called when the host has completed the handshake.
   void on_handshake_done();
-  /// Writes the last or only part of the request: once its last byte is sent the request may run.
+  /// Writes the last or only part of the request: once its last byte is sent the request may run. False if
+  /// the connection has ended: it is broken, or the time for writing the request is over.
   bool write_request(std::string_view bytes);
   /// Reports the job's result to the owner, which keeps or destroys the connection. The connection is kept
   /// only if `keep` is set and no unexpected bytes are left on it, which would be taken for part of the next
@@ -90,8 +89,14 @@
  private:
   /// Ends the job: the connect, the answer or the next part of a streamed answer has taken too long.
   void on_timeout(ev::timer&, int);
-  /// Starts the timer of the job's connect or answer.
+  /// When the job ends unless its answer begins: the first of the limits that apply in its present state.
+  [[nodiscard]] Time due() const;
+  /// Starts the timer of the job's connect, request or answer.
   void start_timer();
+  /// Whether the time for writing the request is over and its last byte has not been written.
+  [[nodiscard]] bool too_late_to_write() const;
+  /// Ends a job whose request has not been written whole, so that it has not run.
+  void finish_not_sent();
   /// Ends a job that was given up: its host has read the request, or will never get all of it.
   void finish_given_up();
   /// How a connection was lost.
@@ -111,6 +116,7 @@
   bool sent_reported_ = false;  // the broker knows that the request has been sent completely
   SocketUpstream& owner_;
   HostId host_;
+  Time connect_by_{};  // of the job that began with the connect
   ev::timer timer_;
 };
 
@@ -163,8 +169,8 @@
   void set_limit_callback(std::function<void()> callback) { limit_reached_ = std::move(callback); }
 
   void start(broker::AttemptKey key, HostId host, const std::string& address,
-             const std::shared_ptr<const broker::RequestPayload>& payload, Time give_up_at,
-             bool use_full_connect_timeout) override;
+             const std::shared_ptr<const broker::RequestPayload>& payload,
+             const broker::AttemptLimits& limits) override;
   void cancel(broker::AttemptKey key) override;
   void give_up(broker::AttemptKey key, Time confirm_by) override;
   void resume(broker::AttemptKey key) override;
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -32,7 +32,7 @@
   struct StartedAttempt {
     AttemptKey key;
     std::string address;
-    Time give_up_at;
+    AttemptLimits limits;
   };
   std::vector<StartedAttempt> started;
   std::vector<AttemptKey> cancelled;
@@ -45,8 +45,8 @@
   std::optional<Outcome> immediate_outcome;  // if set, every attempt ends with it before start() returns
   Broker* broker = nullptr;
   void start(AttemptKey key, HostId, const std::string& address, const std::shared_ptr<const RequestPayload>&,
-             Time give_up_at, bool) override {
-    started.push_back({key, address, give_up_at});
+             const AttemptLimits& limits) override {
+    started.push_back({key, address, limits});
     max_in_flight = std::max(max_in_flight, ++in_flight);
     if (immediate_outcome) end(key, *immediate_outcome);
   }
@@ -235,14 +235,14 @@
   request.name = "x";
   request.arrived = fixture.now - 400ms;
   EXPECT_EQ(fixture.broker.accept(request, fixture.sink, id), Rejection::none);
-  EXPECT_EQ(fixture.upstream.started.at(0).give_up_at, fixture.now + 600ms);
+  EXPECT_EQ(fixture.upstream.started.at(0).limits.give_up_at, fixture.now + 600ms);
   request.name = "y";
   request.arrived = fixture.now - 1s;
   EXPECT_EQ(fixture.broker.accept(request, fixture.sink, id), Rejection::late);
   request.name = "z";
   request.arrived = fixture.now + 1h;  // in the future: counts as now
   EXPECT_EQ(fixture.broker.accept(request, fixture.sink, id), Rejection::none);
-  EXPECT_LE(fixture.upstream.started.at(1).give_up_at, fixture.now + 1s);
+  EXPECT_LE(fixture.upstream.started.at(1).limits.give_up_at, fixture.now + 1s);
 }
 
 TEST(Broker, EachRequestGetsOneFinalAnswerAndIsErasedWhateverItsAttemptsOutcome) {
@@ -262,10 +262,24 @@
   BrokerFixture fixture;
   fixture.submit("history");
   ASSERT_EQ(fixture.upstream.started.size(), 1U);
-  EXPECT_EQ(fixture.upstream.started[0].give_up_at, fixture.now + 1s);
+  EXPECT_EQ(fixture.upstream.started[0].limits.give_up_at, fixture.now + 1s);
 }
 
 // A retry of an unsafe request that may have run could execute it twice.
+// Guards against a repeat of a keyed request that is written after its deduplication window.
+TEST(Broker, RepeatOfAKeyedRequestIsToBeWrittenWithinItsDedupWindow) {
+  BrokerFixture fixture;
+  const auto settings = BrokerFixture::settings();
+  const Time window_end = fixture.now + 1200ms - settings.quantum;
+  fixture.submit("bid");
+  ASSERT_EQ(fixture.upstream.started.size(), 1U);
+  EXPECT_EQ(fixture.upstream.started[0].limits.write_by, Time::max());
+  fixture.now += 100ms;
+  fixture.upstream.end(fixture.upstream.started[0].key, Outcome::reset);
+  ASSERT_EQ(fixture.upstream.started.size(), 2U);
+  EXPECT_EQ(fixture.upstream.started[1].limits.write_by, window_end);
+}
+
 TEST(Broker, UnsafeRequestThatMayHaveRunFailsWithoutRetry) {
   struct Case {
     Outcome outcome;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -298,7 +298,7 @@
 /// An upstream that accepts attempts and never ends them.
 struct UnresponsiveUpstream : broker::Upstream {
   void start(broker::AttemptKey, HostId, const std::string&,
-             const std::shared_ptr<const broker::RequestPayload>&, Time, bool) override {}
+             const std::shared_ptr<const broker::RequestPayload>&, const broker::AttemptLimits&) override {}
   void cancel(broker::AttemptKey) override {}
   void give_up(broker::AttemptKey, Time) override {}
   void probe(HostId, const std::string&) override {}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -541,6 +541,40 @@
   EXPECT_EQ(harness.refused.count(write_request), 0U);
 }
 
+// Guards against a repeat that is decided within the window and written after it, by a connection that comes
+// up late.
+TEST(DuplicateExecution, RepeatOfAKeyedRequestHasToBeWrittenWithinTheDedupWindowOfTheFirstAttempt) {
+  Harness harness;
+  harness.answer_probe(1, harness.now, true);
+  const auto window_end = harness.now + 1200ms - make_settings().quantum;
+  const auto write_request = harness.submit(keyed, 1);
+  for (const auto outcome : {Outcome::error, Outcome::not_sent}) {
+    harness.now += 100ms;
+    harness.answer_probe(1, harness.now, true);
+    harness.end_attempt(write_request, outcome);
+  }
+  ASSERT_EQ(harness.sends.size(), 3U);
+  EXPECT_EQ(harness.sends[0].write_by, Time::zero());
+  EXPECT_EQ(harness.sends[1].write_by, window_end);
+  EXPECT_EQ(harness.sends[2].write_by, window_end);
+  harness.now = window_end;
+  harness.end_attempt(write_request, Outcome::not_sent);
+  EXPECT_EQ(harness.sends.size(), 3U);
+  EXPECT_EQ(harness.failed.count(write_request), 1U) << "answered at once";
+}
+
+TEST(DuplicateExecution, RetryOfARequestThatHasNotRunOrIsSafeHasNoLimitForWriting) {
+  Harness harness;
+  harness.answer_probe(1, harness.now, true);
+  const auto write_request = harness.submit(keyed, 1);
+  harness.end_attempt(write_request, Outcome::full);  // not executed
+  const auto read_request = harness.submit(any);
+  harness.end_attempt(read_request, Outcome::error);
+  harness.advance(100ms);
+  EXPECT_GE(harness.sends.size(), 4U);
+  for (const auto& send : harness.sends) EXPECT_EQ(send.write_by, Time::zero());
+}
+
 TEST(DuplicateExecution, SafeRequestIsRetriedAtAnotherHost) {
   Harness harness;
   harness.answer_probe(1, harness.now, true);
--- a/tests/second_copy_test.cpp
+++ b/tests/second_copy_test.cpp
@@ -5,52 +5,12 @@
 #include <gtest/gtest.h>
 #include <poll.h>
 
-#include "support/stand_in.h"
+#include "support/front_end.h"
 
 namespace cedarring::test {
 namespace {
 
 constexpr int poll_step_ms = 1;
-constexpr unsigned mysql_server_unavailable = 3168;  // the request has been refused
-
-/// A PostgreSQL front end with its client.
-class PgFrontEnd {
- public:
-  using StandIn = PgStandIn;
-  explicit PgFrontEnd(const std::string& known) : program_(config_json("127.0.0.1:1", known)) {}
-  void send(const std::string& sql) { client_.socket.send(pg_query(sql)); }
-  Socket& socket() { return client_.socket; }
-  /// Reads the answer; whether it is a refusal.
-  bool refused() { return client_.read_answer().code == "53300"; }
-  /// Reads the answer; whether it is the value of this host.
-  bool served_by(const Host& host) { return client_.read_answer().value == "from " + host.address(); }
-
- private:
-  GatewayProcess program_;
-  PgClient client_{program_.pg()};
-};
-
-/// A MySQL front end with its client.
-class MysqlFrontEnd {
- public:
-  using StandIn = MysqlStandIn;
-  explicit MysqlFrontEnd(const std::string& known)
-      : program_(config_json("127.0.0.1:1", list_of(1, {})), mysql_json(known)) {}
-  void send(const std::string& sql) { client_.command(wire::mysql::query_packet({}, sql)); }
-  Socket& socket() { return client_.socket; }
-  bool refused() { return client_.read_error().code == mysql_server_unavailable; }
-  bool served_by(const Host& host) {
-    std::string row;
-    wire::mysql::put_lenenc_text(row, "from " + host.address());
-    for (int packet = 0; packet < 3; ++packet)  // column count, column definition, row
-      if (client_.read_packet() == row) return true;
-    return false;
-  }
-
- private:
-  GatewayProcess program_;
-  MysqlRaw client_{program_.mysql()};
-};
 
 /// A group of a primary and one replica, which reads go to first.
 template <class FrontEnd>
@@ -75,14 +35,6 @@
       list_of(1, {member("p", primary_.address(), true), member("r", replica_.address(), false)})};
 };
 
-class FrontEndNames {
- public:
-  template <class FrontEnd>
-  static std::string GetName(int /*index*/) {
-    return std::is_same_v<FrontEnd, PgFrontEnd> ? "Postgresql" : "Mysql";
-  }
-};
-using FrontEnds = testing::Types<PgFrontEnd, MysqlFrontEnd>;
 TYPED_TEST_SUITE(SecondCopy, FrontEnds, FrontEndNames);
 
 // Guards against a second copy: the replica goes on reading while the primary holds the same request.
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -196,6 +196,25 @@
   }
 }
 
+bool Host::reset_after_hold() {
+  while (behavior == Behavior::hold) std::this_thread::sleep_for(std::chrono::milliseconds(poll_step_ms));
+  return behavior == Behavior::reset;
+}
+
+void Host::wait_while(const std::atomic<bool>& condition) {
+  while (condition) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(poll_step_ms));
+    const std::lock_guard lock(mutex_);
+    if (stopping_) return;
+  }
+}
+
+void Host::await_startup() {
+  if (!withholds_startup) return;
+  ++withheld_startups;
+  wait_while(withholds_startup);
+}
+
 void Host::answer_once_with(const std::string& bytes) {
   const std::lock_guard lock(mutex_);
   raw_ = bytes;
@@ -280,6 +299,7 @@
 void PgStandIn::serve(Socket& socket) {
   const auto length = socket.read(4);
   if (!length || !socket.read(static_cast<unsigned char>((*length)[3]) - 4U)) return;
+  await_startup();
   if (behavior == Behavior::withhold_greeting) {
     arrived("startup");
     return hang(socket);
@@ -329,7 +349,7 @@
         if (close_after_raw) return;
         break;
       case Behavior::hold:
-        while (behavior == Behavior::hold) std::this_thread::sleep_for(1ms);
+        if (reset_after_hold()) return socket.reset();
         socket.send(answer());
         ++answered;
         break;
@@ -367,6 +387,7 @@
     my::put_packet(out, sequence, payload);
     return socket.send(out);
   };
+  await_startup();
   send_packet(my::greeting(7, 0x0fffffff & ~my::ssl));
   if (!my_read(socket, sequence)) return;
   send_packet(my::ok_packet({}, 0, false));
@@ -396,6 +417,7 @@
     std::string attribute_id;  // request id in the query attributes, if there is one
     if ((*packet)[0] == my::com_stmt_prepare) {
       count_prepare();
+      wait_while(withholds_prepare);
       const auto id = static_cast<std::uint32_t>(statements.size() + 1);
       statements[id] = packet->substr(1);
       std::string head(1, '\0');
@@ -438,6 +460,9 @@
         socket.send(raw());
         break;
       case Behavior::hold:
+        if (reset_after_hold()) return socket.reset();
+        send_result(row);
+        break;
       case Behavior::serve_and_close:
       case Behavior::serve:
       case Behavior::stop_reading:
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -58,7 +58,7 @@
 /// How a stand-in host treats the next request.
 enum class Behavior {
   raw,                ///< sends the bytes given to answer_once_with(), then serves; set by that call
-  hold,               ///< answers once another behavior is set (MySQL: at once)
+  hold,               ///< waits until another behavior is set, then resets if that is `reset`, else answers
   serve,              ///< answers
   serve_and_close,    ///< answers and closes the connection (MySQL: answers)
   stop_reading,       ///< leaves requests unread until another behavior is set
@@ -88,6 +88,12 @@
   std::atomic<int> padding_bytes{0};
   /// Replication lag that the host reports, in milliseconds.
   std::atomic<int> replica_lag_ms{20};
+  /// While true, the startup of new connections is not answered.
+  std::atomic<bool> withholds_startup{false};
+  /// Number of connections whose startup has been withheld.
+  std::atomic<int> withheld_startups{0};
+  /// While true, statements are not prepared (MySQL only).
+  std::atomic<bool> withholds_prepare{false};
   /// Number of further connections that it accepts. Each open connection takes one away; without one left it
   /// answers that it is full and closes (PostgreSQL only).
   std::atomic<int> connection_limit{1 << 20};
@@ -128,6 +134,12 @@
   void await_request(Socket& socket);
   /// The answer to `SHOW health`, the gateway's probe: replication position, role and pending requests.
   std::string health() const;
+  /// Waits while the behavior is `hold`; returns whether the connection is to be reset.
+  bool reset_after_hold();
+  /// Waits while the condition holds, until the host is stopped.
+  void wait_while(const std::atomic<bool>& condition);
+  /// Waits while withholds_startup is set.
+  void await_startup();
   /// Counts a prepared statement.
   void count_prepare();
   /// The bytes given to answer_once_with().
