Clients: a long statement whose client left while it waited for memory is not sent

A client that waits for memory is not read, so nothing reports its close, and closes were looked for only where requests are open. Its statement was read, submitted and written when memory came, however long the client had been gone, and it kept its place in the queue.

Where the close lies behind bytes that the socket does not take, it shows only once these are read: the connection is looked at before a long statement is submitted.

The new test failed before: the host read the statement of a client that had left 0.3 s earlier, and two clients waited instead of one.

--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -39,9 +39,11 @@
   bool on_answer_part(RequestId request, std::string_view bytes) final;
   void finish(RequestId request, broker::FinalAnswer answer) final;
   [[nodiscard]] bool client_gone() const final { return closed() || peer_closed(); }
-  /// Whether the client has closed the connection while requests are pending and input is not being read, so
-  /// that no event reports the close; the owner has to poll for this.
-  [[nodiscard]] bool closed_unnoticed() const { return pending_requests_ > 0 && !reading() && peer_closed(); }
+  /// Whether the client has closed the connection while requests are pending, or a long command waits for
+  /// memory, and input is not being read, so that no event reports the close; the owner has to poll for this.
+  [[nodiscard]] bool closed_unnoticed() const {
+    return (pending_requests_ > 0 || reading_paused()) && !reading() && peer_closed();
+  }
   /// Closes the connection once all its commands are answered, at once if none is pending. A client that has
   /// just connected is given a short time for its first command.
   void drain();
--- a/src/wire/pg_client.cpp
+++ b/src/wire/pg_client.cpp
@@ -87,6 +87,11 @@
   if (sql.back() != '\0' || sql.find('\0') != sql.size() - 1)
     return send_fatal(pg::sqlstate::protocol_violation, "invalid query message");
   sql.pop_back();
+  // While a statement waits for memory, the close of its client can be hidden behind the unread bytes.
+  if (client_gone()) {
+    close_and_cancel();
+    return false;
+  }
   on_command_received();
   handle_query(std::move(sql), std::move(reservation));
   return true;
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -375,5 +375,43 @@
   EXPECT_EQ(service_.metric_value("app_statement_bytes"), 0);
 }
 
+/// A client that has begun a statement and thereby holds all memory for long statements, until it leaves.
+class MemoryHolder {
+ public:
+  explicit MemoryHolder(const Service& service) : client_(service.program->pg()) {
+    client_.socket.send(pg_query(long_statement("holder", held_bytes)).substr(0, first_part_size));
+    while (service.metric_value("app_statement_bytes") == 0) std::this_thread::yield();
+  }
+  void leave() { client_.socket.reset(); }
+
+ private:
+  static constexpr std::size_t held_bytes = 8'300'000;
+  static constexpr std::size_t first_part_size = 100;
+  PgClient client_;
+};
+
+// Guards against a statement that is sent to a host although its client left while the statement waited for
+// memory: the close may lie behind more bytes than the socket takes, or be in sight while nothing is read.
+TEST_F(LongStatements, StatementOfAClientThatLeavesWhileItWaitsForMemoryIsNotSent) {
+  constexpr std::size_t value_bytes = 300'000;
+  constexpr std::size_t part_bytes = 50'000;
+  constexpr auto notice_time = 300ms;
+  service_.primary.behavior = Behavior::serve;
+  PgClient next(service_.program->pg());
+  EXPECT_EQ(next.query(statement("first", "pay")).types, "TDCZ");  // leaves an idle connection to the host
+  MemoryHolder holder(service_);
+  PgClient whole(service_.program->pg());
+  whole.socket.send(pg_query(long_statement("whole", value_bytes)));
+  PgClient part(service_.program->pg());
+  part.socket.send(pg_query(long_statement("part", value_bytes)).substr(0, part_bytes));
+  wait_for_waiting(2);
+  for (auto* leaving : {&whole, &part}) leaving->socket.shut_down();
+  std::this_thread::sleep_for(notice_time);
+  EXPECT_EQ(service_.metric_value("app_statements_waiting"), 1) << "the close of the second one is in sight";
+  holder.leave();
+  EXPECT_EQ(next.query(long_statement("next", statement_bytes)).types, "TDCZ");
+  EXPECT_EQ(service_.primary.seen(), (std::vector<std::string>{"first", "next"}));
+}
+
 }  // namespace
 }  // namespace cedarring::test
