Memory for statements: those that wait are told when the total grows

The queue for memory was looked at after a release or when a waiter left, not when the total grew, as it does at the end of an upgrade: statements that had room went on waiting until the next release.

A total that grows now notifies like a release. The new test of the budget failed before (no notification) and passes.

--- a/src/broker/memory_budget.h
+++ b/src/broker/memory_budget.h
@@ -46,8 +46,8 @@
   };
 
   /// `total`: size of the budget in bytes. `on_release` is called, from any caller's stack, whenever bytes
-  /// are released while there are waiters; it must not reserve before it returns, but arrange to do so soon
-  /// after.
+  /// are released, or the total grows, while there are waiters; it must not reserve before it returns, but
+  /// arrange to do so soon after.
   explicit MemoryBudget(std::size_t total, std::function<void()> on_release = {})
       : total_(total), on_release_(std::move(on_release)) {}
   /// Sets `out` to a reservation for `waiter` if the bytes are available and no other waiter is ahead;
@@ -69,7 +69,7 @@
     const auto it = std::find(waiting_.begin(), waiting_.end(), waiter);
     if (it == waiting_.end()) return;
     waiting_.erase(it);
-    if (on_release_ && !waiting_.empty()) on_release_();
+    notify_waiters();
   }
   /// The first waiter in the queue; null if there is none.
   [[nodiscard]] const void* next_waiter() const { return waiting_.empty() ? nullptr : waiting_.front(); }
@@ -78,13 +78,20 @@
   /// Number of waiters in the queue.
   [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
   /// Changes the size of the budget, in bytes; existing reservations stay.
-  void set_total(std::size_t total) { total_ = total; }
+  void set_total(std::size_t total) {
+    const bool grown = total > std::exchange(total_, total);
+    if (grown) notify_waiters();
+  }
   /// Drops the callback because its owner is being destroyed; reservations may outlive the owner.
   void close() { on_release_ = nullptr; }
 
  private:
   void release(std::size_t bytes) {
     used_ -= bytes;
+    notify_waiters();
+  }
+  /// Calls the callback if there are waiters.
+  void notify_waiters() const {
     if (on_release_ && !waiting_.empty()) on_release_();
   }
   std::size_t total_;
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -223,6 +223,23 @@
   budget->close();
 }
 
+// Guards against a waiter that sleeps on although the total has grown, as it does at the end of an upgrade.
+TEST(MemoryBudget, WaitersAreNotifiedWhenTheTotalGrows) {
+  int notified = 0;
+  const auto budget = std::make_shared<broker::MemoryBudget>(100, [&] { ++notified; });
+  const char holder = 0;
+  const char waiter = 0;
+  broker::MemoryBudget::Reservation held;
+  broker::MemoryBudget::Reservation wanted;
+  ASSERT_TRUE(budget->try_reserve(&holder, 100, held));
+  budget->set_total(150);
+  EXPECT_EQ(notified, 0) << "nobody waits";
+  ASSERT_FALSE(budget->try_reserve(&waiter, 100, wanted));
+  budget->set_total(200);
+  EXPECT_EQ(notified, 1);
+  EXPECT_TRUE(budget->try_reserve(&waiter, 100, wanted));
+}
+
 /// A write whose value is `extra_bytes` longer than that of statement().
 std::string long_statement(const std::string& id, std::size_t extra_bytes,
                            const std::string& contract = "pay") {
