Clients: who cannot take a turn for memory no longer keeps the others waiting

A woken client asks for its memory while it processes its input. One that may not process input, because the answers behind its hung request are as many bytes as it may queue, did not ask and stayed first in a queue that is served in order: long statements of all other clients waited for its hung request, with memory free.

Such a client now leaves the queue and asks again when it can.

--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -183,7 +183,12 @@
   (void)arrival_time();  // drops entries for input that has been taken
 }
 
-void Client::on_memory_available() { process_commands(); }
+void Client::on_memory_available() {
+  // A client that cannot process its command now leaves the queue, so that the next one gets its turn. It
+  // asks again when it can.
+  if (!can_process_command()) return owner_.memory_budget().stop_waiting(this);
+  process_commands();
+}
 
 void Client::close_and_cancel() {
   owner_.memory_budget().stop_waiting(this);
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -47,7 +47,8 @@
   /// Closes the connection once all its commands are answered, at once if none is pending. A client that has
   /// just connected is given a short time for its first command.
   void drain();
-  /// To be called when memory for the long command being read may have become available: reads on.
+  /// To be called when memory for the long command being read may have become available: reads on, or leaves
+  /// the queue for memory.
   void on_memory_available();
   /// Closes the connection at once, cancels its pending requests and removes it from its owner.
   void close_and_cancel();
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -430,5 +430,34 @@
   EXPECT_EQ(service_.primary.seen(), (std::vector<std::string>{"first", "next"}));
 }
 
+// Guards against a client that cannot take its turn for memory and keeps all others waiting: behind its hung
+// request it has as many bytes of answers queued as it may have.
+TEST_F(LongStatements, ClientThatCannotTakeItsTurnForMemoryLetsTheNextOneHaveIt) {
+  constexpr int queued_answers = 4;
+  constexpr int queued_answer_bytes = 60'000;
+  MemoryHolder holder(service_);
+  service_.primary.behavior = Behavior::hang;
+  service_.replica.behavior = Behavior::hold;
+  service_.replica.padding_bytes = queued_answer_bytes;
+  std::string queries = pg_query(statement("hung", "gate", 9000));
+  for (int i = 0; i < queued_answers; ++i)
+    queries += pg_query(statement("queued" + std::to_string(i), "history", 9000));
+  PgClient blocked(service_.program->pg());
+  const BackgroundSender blocked_sender(blocked.socket,
+                                        queries + pg_query(long_statement("blocked", statement_bytes)));
+  ASSERT_TRUE(service_.primary.wait_for(1));
+  ASSERT_TRUE(service_.replica.wait_for(queued_answers));
+  wait_for_waiting(1);
+  service_.primary.behavior = Behavior::serve;  // the hung request stays so
+  PgClient next(service_.program->pg());
+  const BackgroundSender next_sender(next.socket, pg_query(long_statement("next", statement_bytes)));
+  wait_for_waiting(2);
+  service_.replica.behavior = Behavior::serve;
+  while (service_.metric_value("app_ok{kind=\"history\"}") < queued_answers) std::this_thread::yield();
+  holder.leave();
+  EXPECT_EQ(next.read_answer().types, "TDCZ");
+  EXPECT_EQ(service_.primary.seen(), (std::vector<std::string>{"hung", "next"}));
+}
+
 }  // namespace
 }  // namespace cedarring::test
