--- a/tests/dedup_window_test.cpp
+++ b/tests/dedup_window_test.cpp
@@ -18,13 +18,6 @@
 constexpr auto written_after =
     1200ms;  // when a repeat could be written: past the window, within its other limits
 
-/// `text` with the first occurrence of `from` replaced; throws if there is none.
-std::string replaced(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  if (at == std::string::npos) throw std::runtime_error("text not found: " + from);
-  return text.replace(at, from.size(), to);
-}
-
 /// The configuration with this window for all classes, and without probes, whose connections a repeat could
 /// use.
 std::string with_short_window(std::string config) {
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -22,13 +22,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-/// `text` with the first occurrence of `from` replaced; throws if there is none.
-std::string replaced(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  if (at == std::string::npos) throw std::runtime_error("text not found: " + from);
-  return text.replace(at, from.size(), to);
-}
-
 /// The configuration with a registry that pushes member lists, so that the gateway waits for the first one.
 std::string with_pushed_lists(const std::string& config) {
   return replaced(config, "\"subscribe\"", "\"automatic\"");
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -346,13 +346,6 @@
   EXPECT_EQ(call(third.control(), "GET", "/-/ready").status, 200);
 }
 
-/// The text with the first occurrence of `from` replaced, which must exist.
-std::string replaced(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  EXPECT_NE(at, std::string::npos) << from;
-  return at == std::string::npos ? text : text.replace(at, from.size(), to);
-}
-
 TEST(Settings, IncompleteOrInvalidFileIsRejected) {
   const auto good = config_json("127.0.0.1:1", list_of(1, {}));
   // Whether the file can be loaded in place of the good one.
--- a/tests/support/service.h
+++ b/tests/support/service.h
@@ -31,9 +31,8 @@
     members = {member("p", primary.address(), true), member("r/1", replica.address(), false)};
     discovery = std::make_unique<Discovery>(list_of(1, members));
     config = with_key(config_json(discovery->address(), list_of(1, members)), R"("control":"127.0.0.1:0")");
-    const std::string limits = "\"memory_mb\":192,\"sockets\":1024";
-    config.replace(config.find(limits), limits.size(),
-                   "\"memory_mb\":" + memory_mb + ",\"sockets\":" + sockets);
+    config = replaced(config, R"("memory_mb":192,"sockets":1024)",
+                      R"("memory_mb":)" + memory_mb + R"(,"sockets":)" + sockets);
     program = std::make_unique<GatewayProcess>(config);
   }
   HttpReply call(const std::string& method, const std::string& path) const {
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -799,6 +799,12 @@
   return "{" + key_and_value + "," + config.substr(1);
 }
 
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  if (at == std::string::npos) throw std::runtime_error("text not found: " + from);
+  return text.replace(at, from.size(), to);
+}
+
 HttpReply read_reply(Socket& socket) {
   std::string all;
   while (const auto byte = socket.read(1)) all += *byte;
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -309,6 +309,9 @@
 /// The configuration with another key in front, given as JSON ("key":value).
 std::string with_key(const std::string& config, const std::string& key_and_value);
 
+/// `text` with the first occurrence of `from` replaced; throws std::runtime_error if there is none.
+std::string replaced(std::string text, const std::string& from, const std::string& to);
+
 /// The answer to a call to the control endpoint.
 struct HttpReply {
   int status = 0;  ///< 0 if there was no answer
