--- a/review/standins-2/mysql.h
+++ b/review/standins-2/mysql.h
@@ -117,8 +117,8 @@
   }
 };
 
-/// A database host that keeps one table of keys and values. A replica applies what the primary commits; while
-/// `applying` is false it stands still and answers as quickly as ever.
+/// A database host that keeps one table of keys and values. A replica has what the primary has committed up
+/// to its position, and answers from that as quickly as ever, however far behind it is.
 class Host {
  public:
   struct Data {
@@ -131,8 +131,9 @@
         data_(data),
         record_(record),
         server_([this](const std::shared_ptr<Socket>& socket) { serve(*socket); }) {}
-  /// Stops applying the log, for a replica.
-  void stand_still() { stopped_at_ = unix_ms(); }
+  /// From now on a replica applies the log so much more slowly. Its thread has been busy for 45% of the time,
+  /// so at 12 times the work it gets on at 1 / (12 x 0.45) of the pace of the log.
+  void apply_slowly() { slow_since_ = unix_ms(); }
   [[nodiscard]] std::string entry() const {
     return R"({"id":")" + name_ + R"(","addr":")" + address_of(server_.port()) +
            R"(","zone":"a","kind":"std3","cell":1,"state":"SERVING","weight":1.0,"started_ms":0,"recovery":")" +
@@ -141,8 +142,11 @@
 
  private:
   [[nodiscard]] std::int64_t position() const {
-    if (primary_) return unix_ms();
-    return stopped_at_ > 0 ? stopped_at_.load() : unix_ms() - 5;
+    constexpr std::int64_t usual_delay_ms = 5;
+    const auto now = unix_ms();
+    if (primary_) return now;
+    const auto slow_since = slow_since_.load();
+    return (slow_since == 0 ? now : slow_since + (now - slow_since) * 100 / (12 * 45)) - usual_delay_ms;
   }
   static std::string rows(std::string_view value, bool binary,
                           const std::vector<std::pair<std::string, std::string>>& variables) {
@@ -226,7 +230,7 @@
   bool primary_;
   Data& data_;
   Record& record_;
-  std::atomic<std::int64_t> stopped_at_{0};
+  std::atomic<std::int64_t> slow_since_{0};
   Server server_;
 };
 
