--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -522,7 +522,8 @@
       ::setenv("ROUTER_CONFIG", config_path_.c_str(), 1);
       ::setenv("ROUTER_NAME", "g0", 1);
       ::setenv("TMPDIR", tmpdir.c_str(), 1);
-      for (const char* name : {"ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONTROL", "CEDARRING_GATEWAY"})
+      for (const char* name :
+           {"ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONTROL", "CEDARRING_GATEWAY", "CEDARRING_MYSQL"})
         ::unsetenv(name);
       if (!gateway_file.empty()) ::setenv("CEDARRING_GATEWAY", own_file.c_str(), 1);
       ::execl("/bin/sh", "sh", "-c", setup.run_command.c_str(), nullptr);
