Clients: answers behind a value that breaks off are given

Cause: Client::finish closed the client's connection for a truncated answer, with all finished and pending answers behind it.

Now the row whose length has been announced is filled up with zero bytes as the client reads, an error takes the place of the command's completion, and the other answers follow. Without other commands the connection is closed as before, so the existing test of that stays as it is. The client can tell in both ways that the value is incomplete.

--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -62,38 +62,49 @@
 /// until the client has read what precedes it.
 void Client::flush_answers() {
   while (!slots_.empty() && !slots_.front().pending) {
-    auto& output = slots_.front().output;
-    if (!output.empty() && !write(output)) {
-      if (out_.empty()) close_and_cancel();
-      return;
-    }
-    queued_answer_bytes_ -= output.size();
+    if (!write_complete(slots_.front())) return;
     slots_.pop_front();
   }
   if (final_reply_ && slots_.empty() && !lingering_) start_lingering();
   // A streamed answer is first in the queue now: send what has been received of it, then request the rest.
   if (slots_.empty() || !slots_.front().streaming || slots_.front().output.empty()) return;
-  auto& output = slots_.front().output;
-  if (!write(output)) {
+  if (!write_output(slots_.front())) return;
+  if (out_.empty()) owner_.broker().resume_answer(slots_.front().request);
+}
+
+/// Writes what is left of a complete answer; false if a part has to wait or the client has been closed.
+bool Client::write_complete(Slot& slot) {
+  if (!write_output(slot)) return false;
+  while (slot.filler_bytes > 0) {
+    if (out_.size() >= answer_window) return false;
+    static const std::string zero_bytes(answer_window, '\0');
+    const auto part = std::string_view(zero_bytes).substr(0, slot.filler_bytes);
+    if (!write(part)) return false;
+    slot.filler_bytes -= part.size();
+  }
+  slot.output = std::exchange(slot.error, {});
+  return write_output(slot);
+}
+
+/// Writes the queued bytes of the first answer; false if they have to wait or the client has been closed.
+bool Client::write_output(Slot& slot) {
+  if (slot.output.empty()) return true;
+  if (!write(slot.output)) {
     if (out_.empty()) close_and_cancel();
-    return;
+    return false;
   }
-  queued_answer_bytes_ -= output.size();
-  output.clear();
-  if (out_.empty()) owner_.broker().resume_answer(slots_.front().request);
+  queued_answer_bytes_ -= slot.output.size();
+  slot.output.clear();
+  return true;
 }
 
 bool Client::on_answer_part(RequestId request, std::string_view bytes) {
   const auto slot = find_slot(request);
   if (slot == slots_.end()) return true;
   if (!std::exchange(slot->streaming, true)) waiting_since_ = loop_.now();
-  if (slot != slots_.begin() || !slot->output.empty()) {
-    slot->output += bytes;
-    queued_answer_bytes_ += bytes.size();
-    return false;
-  }
+  slot->missing_bytes = missing_bytes_after(slot->missing_bytes, bytes);
   // At most one part exceeds the answer window: the host connection then waits for resume_answer().
-  if (!write(bytes)) {
+  if (slot != slots_.begin() || !slot->output.empty() || !write(bytes)) {
     slot->output += bytes;
     queued_answer_bytes_ += bytes.size();
     return false;
@@ -101,6 +112,20 @@
   return out_.size() < answer_window;
 }
 
+/// Ends a streamed answer whose rest will not follow. The client can tell that the value is incomplete: an
+/// error takes the place of the command's completion. The message that has been begun is filled up before
+/// it, so that the answers to the client's other commands can follow.
+void Client::end_truncated(Slot& slot, broker::FinalAnswer answer) {
+  slot.filler_bytes = slot.missing_bytes;
+  put_answer(std::move(answer), slot.error);
+  queued_answer_bytes_ += slot.error.size();
+}
+
+/// Whether the client has sent another command, or a part of one, than the first one that is not answered.
+bool Client::has_other_commands() const {
+  return slots_.size() > 1 || reading_long_command() || has_pending_input();
+}
+
 void Client::reply_and_close(std::string bytes) {
   final_reply_ = true;
   reply(std::move(bytes));
@@ -311,13 +336,17 @@
   slot->pending = false;
   --pending_requests_;
   waiting_since_ = loop_.now();
-  // The connection is closed in the middle of the answer, so that the client notices that the value is
-  // incomplete.
-  if (answer.truncated) return close_and_cancel();
-  std::string rest;
-  put_answer(std::move(answer), rest);
-  queued_answer_bytes_ += rest.size();
-  slot->output += rest;
+  if (answer.truncated) {
+    // Nobody else's answer is lost with the connection: its close tells the client that the value is
+    // incomplete.
+    if (!has_other_commands()) return close_and_cancel();
+    end_truncated(*slot, std::move(answer));
+  } else {
+    std::string rest;
+    put_answer(std::move(answer), rest);
+    queued_answer_bytes_ += rest.size();
+    slot->output += rest;
+  }
   flush_answers();
   if (!closed()) process_commands();
 }
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -87,6 +87,12 @@
   virtual bool process_command() = 0;
   /// Encodes the answer, or the rest of a streamed one, into `out`, which is empty.
   virtual void put_answer(broker::FinalAnswer answer, std::string& out) = 0;
+  /// How many bytes a streamed answer still lacks of its last message after the part `bytes`, if it lacked
+  /// `missing` before. 0 in protocols whose answers are not streamed.
+  [[nodiscard]] virtual std::size_t missing_bytes_after(std::size_t /*missing*/,
+                                                        std::string_view /*bytes*/) const {
+    return 0;
+  }
   /// How many requests may be pending at once, in protocols with pipelining. Finished answers that wait for
   /// an earlier one do not count; they are limited separately, by number and by bytes.
   [[nodiscard]] virtual std::size_t pipeline_depth() const { return 1; }
@@ -122,11 +128,26 @@
                                    std::shared_ptr<const broker::RequestPayload> payload);
 
  private:
+  /// The answer to one command.
+  struct Slot {
+    RequestId request{};     // not set for commands that the gateway answers itself
+    bool pending = false;    // the answer is not complete
+    std::string output;      // the encoded answer, or the part of it that has not been passed to write()
+    bool streaming = false;  // part of the answer has been received; in the first slot it is sent at once
+    std::size_t missing_bytes = 0;  // of the last message of a streamed answer
+    // A value that breaks off: zero bytes that complete its message are due behind `output`, then this error.
+    std::size_t filler_bytes = 0;
+    std::string error;
+  };
   void on_input() final;
   [[nodiscard]] bool has_pending_work() const final { return !slots_.empty() || !out_.empty(); }
   [[nodiscard]] bool can_pause_reading() const final { return true; }
   [[nodiscard]] bool drained() const;
   void flush_answers();
+  bool write_complete(Slot& slot);
+  bool write_output(Slot& slot);
+  void end_truncated(Slot& slot, broker::FinalAnswer answer);
+  [[nodiscard]] bool has_other_commands() const;
   void start_lingering();
   void on_end(int error) final;
   void on_sent() final;
@@ -135,13 +156,6 @@
   [[nodiscard]] bool can_process_command() const;
   [[nodiscard]] Time arrival_time();
   ClientSet& owner_;
-  /// The answer to one command.
-  struct Slot {
-    RequestId request{};     // not set for commands that the gateway answers itself
-    bool pending = false;    // the answer is not complete
-    std::string output;      // the encoded answer, or the part of it that has not been passed to write()
-    bool streaming = false;  // part of the answer has been received; in the first slot it is sent at once
-  };
   /// The slot of a pending request; the end of slots_ if there is none.
   [[nodiscard]] std::deque<Slot>::iterator find_slot(RequestId request);
   std::deque<Slot> slots_;               // in the order of commands
--- a/src/wire/pg.cpp
+++ b/src/wire/pg.cpp
@@ -85,6 +85,15 @@
   return size > threshold && size <= max_size;
 }
 
+std::size_t missing_bytes_after(std::size_t missing, std::string_view bytes) {
+  while (bytes.size() > missing) {
+    bytes.remove_prefix(missing);
+    if (bytes.size() < message_header_size) return 0;
+    missing = std::size_t{read_u32(bytes.substr(1))} + 1;  // with the type byte
+  }
+  return missing - bytes.size();
+}
+
 FrameStatus next_startup(std::string_view in, Startup& out) {
   if (in.size() < length_size) return FrameStatus::partial;
   const auto length = read_u32(in);
--- a/src/wire/pg.h
+++ b/src/wire/pg.h
@@ -79,6 +79,9 @@
 /// Whether more input is needed to call long_row_size(): `in` starts with a DataRow longer than `threshold`
 /// and at most `max_size`, but does not hold its first 11 bytes yet.
 bool may_begin_long_row(std::string_view in, std::size_t threshold, std::size_t max_size);
+/// How many bytes the last message lacks after `bytes`, if the one at their front lacked `missing`. `bytes`
+/// must not end within the header of a message.
+std::size_t missing_bytes_after(std::size_t missing, std::string_view bytes);
 /// Removes a null-terminated string from the front of `body` and returns it; nothing if there is no
 /// terminator.
 std::optional<std::string_view> read_cstring(std::string_view& body);
--- a/src/wire/pg_client.h
+++ b/src/wire/pg_client.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "wire/client.h"
+#include "wire/pg.h"
 #include "wire/pg_request.h"
 
 namespace cedarring::wire {
@@ -26,6 +27,9 @@
   [[nodiscard]] std::size_t pipeline_depth() const override { return max_pipelined_queries; }
   bool process_command() override { return startup_done_ ? read_message() : read_startup(); }
   void put_answer(broker::FinalAnswer answer, std::string& out) override;
+  [[nodiscard]] std::size_t missing_bytes_after(std::size_t missing, std::string_view bytes) const override {
+    return pg::missing_bytes_after(missing, bytes);
+  }
   // The read functions process one message. They return false if there is no complete one or the connection
   // is to be closed.
   bool read_startup();
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -135,6 +135,23 @@
   }
 }
 
+TEST(Pg, MissingBytesOfAMessageAreCountedOverParts) {
+  const std::string first("T\0\0\0\6ab", 7);
+  const std::string second(
+      "D\0\0\0\x0a"
+      "abcdef",
+      11);
+  const auto both = first + second;
+  EXPECT_EQ(wire::pg::missing_bytes_after(0, first), 0U);
+  EXPECT_EQ(wire::pg::missing_bytes_after(0, both), 0U);
+  for (std::size_t cut = first.size() + wire::pg::message_header_size; cut <= both.size(); ++cut) {
+    const auto missing = wire::pg::missing_bytes_after(0, both.substr(0, cut));
+    EXPECT_EQ(missing, both.size() - cut);
+    EXPECT_EQ(wire::pg::missing_bytes_after(missing, both.substr(cut)), 0U) << cut;
+    EXPECT_EQ(wire::pg::missing_bytes_after(missing, both.substr(cut) + first), 0U) << cut;
+  }
+}
+
 TEST(Pg, ErrorFieldsColumnsAndOutcomesAreParsed) {
   EXPECT_EQ(pg::error_response_field("SERROR\0C53300\0Mbusy\0\0"s, 'C'), "53300");
   EXPECT_EQ(pg::error_response_field("SERROR\0C53300"s, 'C'), "");
--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -160,6 +160,46 @@
   EXPECT_EQ(next.query(statement("b", "gate")).types, "TDCZ");
 }
 
+// Guards against answers that are lost with the connection when an earlier value on it breaks off.
+TEST(LongValues, CommandsBehindATruncatedAnswerAreAnswered) {
+  constexpr int commands_behind = 4;
+  Service service;
+  PgClient client(service.program->pg());
+  service.replica.close_after_raw = true;
+  const auto row = PgStandIn::row(long_value(1'000'000));
+  service.replica.answer_once_with(row.substr(0, row.size() / 2));
+  std::string commands = pg_query(statement("long", "history"));
+  for (int i = 0; i < commands_behind; ++i)
+    commands += pg_query(statement("behind" + std::to_string(i), "gate"));
+  client.socket.send(commands);
+  const auto truncated = client.read_answer();
+  EXPECT_EQ(truncated.types, "TDEZ")
+      << "the error in place of the completion tells that the value is incomplete";
+  EXPECT_EQ(truncated.code, "58000");
+  for (int i = 0; i < commands_behind; ++i) EXPECT_EQ(client.read_answer().types, "TDCZ") << i;
+  EXPECT_EQ(client.query(statement("next", "gate")).types, "TDCZ");
+  EXPECT_EQ(service.metric_value("app_errors{kind=\"history\"}"), 1);
+  EXPECT_EQ(service.metric_value("app_ok{kind=\"gate\"}"), commands_behind + 1);
+}
+
+// Guards against a value whose rest is filled up beyond the client's output buffer: the client reads nothing
+// until it breaks off, and its rest is longer than what the kernel takes.
+TEST(LongValues, LongTruncatedAnswerIsFilledUpAsItsClientReads) {
+  Service service;
+  PgClient client(service.program->pg());
+  const auto value = long_value(std::size_t{8} << 20U);
+  constexpr std::size_t sent_bytes = 100'000;
+  service.primary.close_after_raw = true;
+  service.primary.answer_once_with(PgStandIn::row(value).substr(0, sent_bytes));
+  const std::string empty_query = pg_query("");
+  client.socket.send(pg_query(statement("long", "gate")) + empty_query);
+  while (service.metric_value("app_errors{kind=\"gate\"}") == 0) std::this_thread::yield();
+  const auto answer = client.read_answer();
+  EXPECT_EQ(answer.types, "TDEZ");
+  EXPECT_EQ(answer.value.size(), value.size());
+  EXPECT_EQ(client.read_answer().types, "IZ");
+}
+
 TEST(LongValues, PipelinedAnswersStayInOrder) {
   Service service;
   PgClient client(service.program->pg());
