Reloads: a class that changes has the stricter of its terms for two seconds

Cause: a dropped class may be named for 2 s, and kept its terms beside those of the class that came back; accept() took the first entry. A changed class, on the other hand, expired at once, so what clients had sent before got the new terms.

RequestClasses, a module of its own taken out of the broker, keeps one entry in force and one for the transition, which has the stricter of all terms that a client may have known: attempts, effect, window, staleness.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -7,11 +7,6 @@
 namespace cedarring::broker {
 namespace {
 
-// How long requests may still name a class that a reload has dropped: clients learn of a reload up to 1.2 s
-// later than the gateway.
-constexpr Duration dropped_class_lifetime = std::chrono::seconds(2);
-// Above this number of class counters, those that no class uses are dropped.
-constexpr std::size_t max_class_counters = 256;
 // A request that has waited longer than this is sent on only after checking that its client is still
 // connected: after a stall of the process, or behind bytes that are not read, the broker may not have been
 // notified of a disconnect.
@@ -24,16 +19,6 @@
 constexpr double half_share = 0.5;
 constexpr double whole_share = 1;
 
-/// Replaces a `max_attempts` of 0 by the limit of the settings, so that a reload that changes this limit does
-/// not change it for open requests.
-RequestClass with_max_attempts(RequestClass request_class, const Settings& settings) {
-  if (request_class.max_attempts == 0) request_class.max_attempts = settings.max_attempts;
-  return request_class;
-}
-
-/// The index of a class in the broker's and the router's lists of classes.
-std::size_t index_of(ClassId class_id) { return static_cast<std::size_t>(class_id.value); }
-
 FinalAnswer refused_answer(Duration retry_after, const gates::Verdict& verdict = {}) {
   FinalAnswer answer;
   answer.status = AnswerStatus::refused;
@@ -73,68 +58,23 @@
 
 }  // namespace
 
-Broker::Broker(Settings settings, const std::vector<TenantBudget>& budgets, std::vector<std::string> zones,
-               Clock clock, Upstream& upstream, std::size_t max_requests)
+Broker::Broker(const Settings& settings, const std::vector<TenantBudget>& budgets,
+               std::vector<std::string> zones, Clock clock, Upstream& upstream, std::size_t max_requests)
     : budgets_(budgets.begin(), budgets.end()),
       clock_(std::move(clock)),
       upstream_(upstream),
       max_requests_(max_requests),
       settings_(settings),
+      classes_(settings),
       gated_classes_(settings.classes.size()),
       gated_tenants_(budgets_.size()),
       router_(settings),
-      hosts_(std::move(zones)) {
-  classes_.resize(settings.classes.size());
-  for (std::size_t i = 0; i < classes_.size(); ++i)
-    assign_class(i, with_max_attempts(settings.classes[i], settings));
-}
-
-/// Makes the entry of this index stand for `request_class`, a class of the current settings.
-void Broker::assign_class(std::size_t index, const RequestClass& request_class) {
-  classes_[index] = {request_class, &counts_[request_class.name], no_expiry};
-}
+      hosts_(std::move(zones)) {}
 
 void Broker::update_settings(Settings settings, std::vector<TenantBudget> budgets) {
-  const Time now = clock_();
-  std::vector<bool> in_use(classes_.size(), false);     // by an open request
-  std::vector<bool> unchanged(classes_.size(), false);  // contained in the old and the new settings
-  for (const auto& [id, request] : requests_) in_use[index_of(request.gate_request.class_id)] = true;
-  std::vector<RequestClass> added;
-  for (const auto& configured : settings.classes) {
-    const auto request_class = with_max_attempts(configured, settings);
-    const auto existing = std::find_if(classes_.begin(), classes_.end(), [&](const ClassEntry& entry) {
-      return entry.expires_at == no_expiry && entry.request_class == request_class;
-    });
-    if (existing == classes_.end())
-      added.push_back(request_class);
-    else
-      unchanged[static_cast<std::size_t>(existing - classes_.begin())] = true;
-  }
-  // A changed class expires at once, because requests find its new entry under the same name; a dropped class
-  // expires later.
-  for (std::size_t i = 0; i < classes_.size(); ++i) {
-    if (unchanged[i] || classes_[i].expires_at != no_expiry) continue;
-    const bool replaced = std::any_of(added.begin(), added.end(), [&](const RequestClass& request_class) {
-      return request_class.name == classes_[i].request_class.name;
-    });
-    classes_[i].expires_at = replaced ? now : now + dropped_class_lifetime;
-  }
-  // An added class takes the entry of an expired class without open requests, or a new entry.
-  for (const auto& request_class : added) {
-    std::size_t index = 0;
-    while (index < classes_.size() && (classes_[index].expires_at > now || in_use[index])) ++index;
-    if (index == classes_.size()) {
-      classes_.emplace_back();
-      in_use.push_back(false);
-    }
-    assign_class(index, request_class);
-  }
-  // Bounds memory: counters that no class uses are dropped once there are many.
-  for (auto it = counts_.begin(); it != counts_.end() && counts_.size() > max_class_counters;) {
-    const bool used = std::any_of(classes_.begin(), classes_.end(),
-                                  [&](const ClassEntry& entry) { return entry.counts == &it->second; });
-    it = used ? std::next(it) : counts_.erase(it);
-  }
+  std::unordered_set<std::int32_t> classes_in_use;
+  for (const auto& [id, request] : requests_) classes_in_use.insert(request.gate_request.class_id.value);
+  classes_.update(settings, classes_in_use, clock_());
   for (auto& budget : budgets_) budget.configured = false;
   for (auto& budget : budgets) {
     const auto existing = std::find_if(budgets_.begin(), budgets_.end(), [&](const TenantBudget& candidate) {
@@ -147,8 +87,7 @@
       existing->per_second = budget.per_second;
     }
   }
-  settings.classes.clear();
-  for (const auto& entry : classes_) settings.classes.push_back(entry.request_class);
+  settings.classes = classes_.all();
   settings_ = std::move(settings);
   router_.update_settings(settings_);
 }
@@ -159,18 +98,15 @@
 }
 
 Rejection Broker::accept(const ClientRequest& request, AnswerSink& sink, RequestId& id) {
-  const Time now = clock_();
-  const auto entry = std::find_if(classes_.begin(), classes_.end(), [&](const ClassEntry& candidate) {
-    return candidate.request_class.name == request.class_name && now < candidate.expires_at;
-  });
-  if (entry == classes_.end()) return Rejection::unknown_class;
-  const auto rejection =
-      admit(request, ClassId{static_cast<std::int32_t>(entry - classes_.begin())}, sink, id);
+  const auto class_id = classes_.find(request.class_name, clock_());
+  if (!class_id) return Rejection::unknown_class;
+  const auto rejection = admit(request, *class_id, sink, id);
+  auto& counts = classes_.counts(*class_id);
   // Clients are told of these two rejections as refusals, so they count as refused.
   if (rejection == Rejection::too_many_requests || rejection == Rejection::late)
-    ++entry->counts->shed;
+    ++counts.shed;
   else if (rejection != Rejection::none)
-    ++entry->counts->errors;
+    ++counts.errors;
   return rejection;
 }
 
@@ -310,11 +246,11 @@
 
 void Broker::attempt_written(AttemptKey key) {
   const auto it = requests_.find(key.request.value);
-  if (it != requests_.end()) ++classes_[index_of(it->second.gate_request.class_id)].counts->tries;
+  if (it != requests_.end()) ++classes_.counts(it->second.gate_request.class_id).tries;
 }
 
 void Broker::collect_metrics(telemetry::Metrics& out) {
-  for (const auto& [name, counts] : counts_) out.classes[name] += counts;
+  for (const auto& [name, counts] : classes_.counts_by_name()) out.classes[name] += counts;
   out.active += open_request_names_.size();
   out.pool_size += hosts_.listed_count();
   std::vector<GroupView> views;
@@ -350,7 +286,7 @@
   // The answer to a write carries the write's commit position, which says nothing about which replicas have
   // applied it: only the host's role is recorded, not the position. Replicas refuse writes, so the position
   // in a replica's answer is its own and is recorded, as for reads.
-  const auto& request_class = classes_[index_of(request.gate_request.class_id)].request_class;
+  const auto& request_class = classes_[request.gate_request.class_id];
   const bool position_is_commit =
       request_class.freshness == Freshness::write && result.metadata.role != Role::replica;
   observe_host(attempt.host, result.metadata.role,
@@ -581,7 +517,7 @@
                                 now);
   }
   if (end == gates::RequestEnd::abandoned) return;
-  auto& counts = *classes_[index_of(request.gate_request.class_id)].counts;
+  auto& counts = classes_.counts(request.gate_request.class_id);
   ++(end == gates::RequestEnd::served    ? counts.ok
      : end == gates::RequestEnd::refused ? counts.shed
                                          : counts.errors);
@@ -624,7 +560,7 @@
 void Broker::report_trace(const Request& request) const {
   RequestTrace trace;
   trace.name = request.name;
-  trace.class_name = classes_[index_of(request.gate_request.class_id)].request_class.name;
+  trace.class_name = classes_[request.gate_request.class_id].name;
   trace.group = request.gate_request.group;
   trace.retry = request.gate_request.retry;
   trace.elapsed = request.ended_at - request.accepted_at;
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "broker/host_table.h"
+#include "broker/request_classes.h"
 #include "cedarring/router.h"
 #include "cedarring/snapshot.h"
 #include "gates/gate.h"
@@ -194,14 +195,11 @@
 /// Accepts requests and sees each through to one final answer. Single-threaded. Gates and upstream are not
 /// owned and outlive the broker; a sink lives until the final answer or client_left of each of its requests.
 class Broker {
-  /// Expiry time of a request class that the current settings contain; never reached.
-  static constexpr Time no_expiry{INT64_MAX / 2};
-
  public:
   /// Returns the current time, which must not decrease.
   using Clock = std::function<Time()>;
   /// `zones`: zone names in the order of ZoneId. `max_requests`: limit on open requests.
-  Broker(Settings settings, const std::vector<TenantBudget>& budgets, std::vector<std::string> zones,
+  Broker(const Settings& settings, const std::vector<TenantBudget>& budgets, std::vector<std::string> zones,
          Clock clock, Upstream& upstream, std::size_t max_requests = 20000);
   /// Appends a gate: a request passes the gates in this order, then the router. Not owned.
   void add_gate(gates::Gate& gate) { gates_.push_back(&gate); }
@@ -293,7 +291,7 @@
     router_.set_max_in_flight(static_cast<int>(std::max<std::size_t>(attempts, 1)));
   }
   /// Replaces settings and budgets, both already validated. Open requests keep the class under which they
-  /// were accepted.
+  /// were accepted; see RequestClasses for those that arrive soon after.
   void update_settings(Settings settings, std::vector<TenantBudget> budgets);
 
   [[nodiscard]] Time now() const { return clock_(); }
@@ -344,7 +342,6 @@
     bool streaming = false;  // parts of the last attempt's answer are being passed on
   };
 
-  void assign_class(std::size_t index, const RequestClass& request_class);
   Rejection admit(const ClientRequest& client_request, ClassId class_id, AnswerSink& sink, RequestId& id);
   void handle_event(Event event);
   void perform(const Action& action, Time now);
@@ -359,20 +356,13 @@
   void report_trace(const Request& request) const;
   void observe_host(HostId host, Role role, std::optional<Time> position);
 
-  /// A request class of the settings, with its counters.
-  struct ClassEntry {
-    RequestClass request_class;
-    telemetry::ClassCounts* counts = nullptr;  // shared by classes of the same name
-    Time expires_at = no_expiry;  // requests may name the class until then; dropped or replaced afterwards
-  };
-  std::vector<ClassEntry> classes_;  // by ClassId: an entry is not reused while one of its requests is open
-  std::map<std::string, telemetry::ClassCounts> counts_;  // by class name
   std::deque<TenantBudget> budgets_;  // by tenant index; requests keep pointers to the entries
   std::vector<gates::Gate*> gates_;
   Clock clock_;
   Upstream& upstream_;
   std::size_t max_requests_;
   Settings settings_;
+  RequestClasses classes_;
   std::size_t gated_classes_, gated_tenants_;  // numbers known to the gates: those at construction
   Router router_;
   HostTable hosts_;
--- a/tests/broker_test.cpp
+++ b/tests/broker_test.cpp
@@ -402,6 +402,25 @@
   fixture.submit("pay", Rejection::too_many_requests);
 }
 
+// Guards against a payment that runs twice because its class was dropped by one reload and came back as one
+// that must not be repeated.
+TEST(Broker, RequestOfAClassThatCameBackStricterIsNotRepeated) {
+  BrokerFixture fixture;
+  auto without = BrokerFixture::settings();
+  without.classes.erase(without.classes.begin() + 1);
+  fixture.broker.update_settings(without, {BrokerFixture::budget()});
+  fixture.run_until(fixture.now + 300ms);
+  auto stricter = BrokerFixture::settings();
+  stricter.classes[1].idempotency = Idempotency::unsafe;
+  fixture.broker.update_settings(stricter, {BrokerFixture::budget()});
+  fixture.run_until(fixture.now + 1300ms);
+  const auto id = fixture.submit("bid");
+  ASSERT_EQ(fixture.upstream.started.size(), 1U);
+  fixture.upstream.end(fixture.upstream.started[0].key, Outcome::reset);
+  EXPECT_EQ(fixture.upstream.started.size(), 1U);
+  EXPECT_EQ(fixture.sink.answers.at(id.value).status, AnswerStatus::failed);
+}
+
 TEST(Broker, RequestsBeyondTheBudgetAreCountedAndServed) {
   BrokerFixture fixture;
   fixture.upstream.immediate_outcome = Outcome::ok;
