Memory: statements that wait and answers behind others count against the limit

Cause: only ring buffers and long statements were in a limit of the process. Statements up to 200 KiB (16 open for each client), answers that wait behind an earlier one, replies to up to 256 queued commands and prepared statements were not.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -112,7 +112,7 @@
   handover_drain_timer_.set<Gateway, &Gateway::on_drain_timer>(this);
   budgets_timer_.set<Gateway, &Gateway::on_budgets_timeout>(this);
   ejections_timer_.set<Gateway, &Gateway::send_ejections>(this);
-  wire::RingBuffer::set_total_limit(max_buffer_bytes_);
+  broker::MessageMemory::set_limit(max_buffer_bytes_);
   const auto clock = [this] { return clock_.now(); };
   const auto reserved =
       reserved_descriptors + (config.control.empty() ? 0 : wire::ControlServer::descriptors);
@@ -428,6 +428,7 @@
 std::string Gateway::metrics() {
   telemetry::Metrics metrics;
   for (auto& service : services_) service->collect_metrics(metrics);
+  metrics.message_bytes = broker::MessageMemory::used();
   metrics.config_applied = configs_applied_;
   metrics.config_rejected = configs_rejected_;
   return telemetry::to_prometheus(metrics);
@@ -612,7 +613,7 @@
   for (auto& service : services_) {
     const auto total = total_resources_of(*service);
     const auto share = handover::split_resources(total, outgoing, outgoing ? total.clients : peer_clients);
-    wire::RingBuffer::set_total_limit(share.memory);
+    broker::MessageMemory::set_limit(share.memory);
     service->set_resources(share);
   }
 }
@@ -711,7 +712,7 @@
   known_ejections_.clear();
   received_sections_.clear();
   if (awaits_budgets_ && budgets_timer_.is_active()) serve();
-  wire::RingBuffer::set_total_limit(max_buffer_bytes_);
+  broker::MessageMemory::set_limit(max_buffer_bytes_);
   for (auto& service : services_) service->set_resources(total_resources_of(*service));
   if (empty_check_.is_active()) return;
   if (auto next = waiting_successors_.take()) begin_handover(std::move(*next));
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -178,8 +178,8 @@
   hooks.read_inputs = [this] {
     LevelsRunner::Inputs inputs;
     inputs.descriptors = clients_.utilization();
-    inputs.memory = static_cast<double>(wire::RingBuffer::total_capacity()) /
-                    static_cast<double>(std::max<std::size_t>(wire::RingBuffer::total_limit(), 1));
+    inputs.memory = static_cast<double>(broker::MessageMemory::used()) /
+                    static_cast<double>(std::max<std::size_t>(broker::MessageMemory::limit(), 1));
     if (discovery_) inputs.discovery_silence = discovery_->seconds_since_data();
     return inputs;
   };
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -102,8 +102,9 @@
   if (!class_id) return Rejection::unknown_class;
   const auto rejection = admit(request, *class_id, sink, id);
   auto& counts = classes_.counts(*class_id);
-  // Clients are told of these two rejections as refusals, so they count as refused.
-  if (rejection == Rejection::too_many_requests || rejection == Rejection::late)
+  // Clients are told of these rejections as refusals, so they count as refused.
+  if (rejection == Rejection::too_many_requests || rejection == Rejection::out_of_memory ||
+      rejection == Rejection::late)
     ++counts.shed;
   else if (rejection != Rejection::none)
     ++counts.errors;
@@ -119,6 +120,7 @@
   if (!budgets_.empty() && budget == budgets_.end()) return Rejection::unknown_tenant;
   if (!hosts_.has_group(client_request.group)) return Rejection::unknown_group;
   if (requests_.size() >= max_requests_) return Rejection::too_many_requests;
+  if (client_request.out_of_memory) return Rejection::out_of_memory;
   const Time now = clock_();
   const Time deadline = std::min(client_request.arrived.value_or(now), now) + client_request.time_left;
   if (deadline <= now || shutting_down_) return Rejection::late;
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "broker/host_table.h"
+#include "broker/message_memory.h"
 #include "broker/request_classes.h"
 #include "cedarring/router.h"
 #include "cedarring/snapshot.h"
@@ -29,6 +30,7 @@
 /// protocol interprets it.
 struct RequestPayload {
   virtual ~RequestPayload() = default;
+  MessageMemory::Charge memory;  // for what is not reserved from a MemoryBudget
 };
 
 /// A request as a client connection hands it to the broker.
@@ -42,6 +44,7 @@
   std::optional<SessionId> session;
   std::optional<Time> required_position;  // replication position that the read has to see
   bool retry = false;                     // marked by the client as a retry
+  bool out_of_memory = false;             // there is no memory to keep the statement
   std::shared_ptr<const RequestPayload> payload;
 };
 
@@ -163,8 +166,8 @@
 using BudgetSnapshots = std::map<std::string, BudgetSnapshot>;  // by tenant
 
 /// Why a request was not accepted. name_in_use: an open request has the same name; too_many_requests: the
-/// limit on open requests is reached; late: the deadline has passed already, or the process is shutting down;
-/// nothing has run.
+/// limit on open requests is reached; out_of_memory: see ClientRequest; late: the deadline has passed
+/// already, or the process is shutting down; nothing has run.
 enum class Rejection {
   none,
   unknown_class,
@@ -172,6 +175,7 @@
   unknown_group,
   name_in_use,
   too_many_requests,
+  out_of_memory,
   late
 };
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -47,6 +47,8 @@
                "Bytes of memory reserved for long statements.");
   append_value("statements_waiting", "gauge", metrics.statements_waiting,
                "Long statements that wait for memory.");
+  append_value("message_bytes", "gauge", metrics.message_bytes,
+               "Bytes of memory taken by buffers, statements and answers.");
   append_value("config_applied", "counter", metrics.config_applied, "Files taken at SIGHUP.");
   append_value("config_rejected", "counter", metrics.config_rejected, "Files turned down at SIGHUP.");
   return out;
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -34,6 +34,7 @@
   std::uint64_t pool_ejected = 0;              // listed hosts disabled by operators or avoided now
   std::uint64_t statement_bytes = 0;           // reserved for long statements
   std::uint64_t statements_waiting = 0;        // clients whose long statement waits for memory
+  std::uint64_t message_bytes = 0;             // taken by all other messages, see broker::MessageMemory
   std::uint64_t config_applied = 0;            // configuration files read at SIGHUP and applied
   std::uint64_t config_rejected = 0;           // configuration files read at SIGHUP and rejected
 };
--- a/src/tools/rig/rig.cpp
+++ b/src/tools/rig/rig.cpp
@@ -992,7 +992,7 @@
     return std::move(result_);
   }
   constexpr std::size_t max_buffer_bytes = std::size_t{1} << 30U;  // of all connections of the rig
-  wire::RingBuffer::set_total_limit(max_buffer_bytes);
+  broker::MessageMemory::set_limit(max_buffer_bytes);
   rules_.emplace(
       [&] {
         Limits limits;
--- a/src/wire/client.cpp
+++ b/src/wire/client.cpp
@@ -37,6 +37,14 @@
 constexpr int accepts_per_event = 64;
 constexpr int accept_rounds_at_drain = 16;  // each of accepts_per_event
 
+/// The answer in place of one that has to wait for an earlier one and finds no memory.
+broker::FinalAnswer unkept_answer() {
+  broker::FinalAnswer answer;
+  answer.status = broker::AnswerStatus::failed;
+  answer.message = "out of memory for an answer behind another one; the request may have run";
+  return answer;
+}
+
 }  // namespace
 
 std::string refusal_text(const gates::Verdict& verdict) {
@@ -61,6 +69,15 @@
 /// Writes the answers that no earlier command delays. An answer that does not fit the output buffer waits
 /// until the client has read what precedes it.
 void Client::flush_answers() {
+  write_answers();
+  count_answer_memory();
+}
+
+void Client::count_answer_memory() {
+  answer_memory_.set(queued_answer_bytes_ + slots_.size() * sizeof(Slot));
+}
+
+void Client::write_answers() {
   while (!slots_.empty() && !slots_.front().pending) {
     if (!write_complete(slots_.front())) return;
     slots_.pop_front();
@@ -107,6 +124,7 @@
   if (slot != slots_.begin() || !slot->output.empty() || !write(bytes)) {
     slot->output += bytes;
     queued_answer_bytes_ += bytes.size();
+    count_answer_memory();
     return false;
   }
   return out_.size() < answer_window;
@@ -276,6 +294,8 @@
 /// With pipelining a host that does not respond must not block the commands behind its request, so only
 /// pending requests count towards the depth; queued answers have their own limits.
 bool Client::can_process_command() const {
+  // Answers that wait for an earlier one take memory: no further ones while it is short.
+  if (!slots_.empty() && broker::MessageMemory::exceeded()) return false;
   return pending_requests_ < pipeline_depth() &&
          (pipeline_depth() == 1 ||
           (slots_.size() < max_queued_answers && queued_answer_bytes_ < max_input()));
@@ -301,7 +321,8 @@
 }
 
 broker::Rejection Client::submit_request(const StatementInfo& info,
-                                         std::shared_ptr<const broker::RequestPayload> payload) {
+                                         std::shared_ptr<broker::RequestPayload> payload,
+                                         std::size_t unreserved_bytes) {
   broker::ClientRequest request;
   request.name = info.id;
   request.class_name = info.class_name;
@@ -312,6 +333,8 @@
   if (!info.session.empty()) request.session = session_id_of(info.session);
   request.retry = info.retry;
   if (info.after_ms) request.required_position = std::chrono::milliseconds(*info.after_ms);
+  request.out_of_memory = !broker::MessageMemory::available(unreserved_bytes);
+  if (!request.out_of_memory) payload->memory.set(unreserved_bytes);
   request.payload = std::move(payload);
   Slot slot;
   slot.pending = true;
@@ -344,6 +367,11 @@
   } else {
     std::string rest;
     put_answer(std::move(answer), rest);
+    const bool waits = slot != slots_.begin();
+    if (waits && !slot->streaming && !broker::MessageMemory::available(rest.size())) {
+      rest.clear();
+      put_answer(unkept_answer(), rest);
+    }
     queued_answer_bytes_ += rest.size();
     slot->output += rest;
   }
--- a/src/wire/client.h
+++ b/src/wire/client.h
@@ -124,8 +124,10 @@
     waiting_since_ = loop_.now();
   }
   /// Submits a request to the broker; returns why the request was rejected, or Rejection::none.
-  broker::Rejection submit_request(const StatementInfo& info,
-                                   std::shared_ptr<const broker::RequestPayload> payload);
+  /// `unreserved_bytes`: what the payload takes and is not reserved from the budget for long statements.
+  broker::Rejection submit_request(const StatementInfo& info, std::shared_ptr<broker::RequestPayload> payload,
+                                   std::size_t unreserved_bytes);
+  [[nodiscard]] std::size_t kept_bytes() const override { return answer_memory_.bytes(); }
 
  private:
   /// The answer to one command.
@@ -144,6 +146,8 @@
   [[nodiscard]] bool can_pause_reading() const final { return true; }
   [[nodiscard]] bool drained() const;
   void flush_answers();
+  void write_answers();
+  void count_answer_memory();
   bool write_complete(Slot& slot);
   bool write_output(Slot& slot);
   void end_truncated(Slot& slot, broker::FinalAnswer answer);
@@ -158,9 +162,10 @@
   ClientSet& owner_;
   /// The slot of a pending request; the end of slots_ if there is none.
   [[nodiscard]] std::deque<Slot>::iterator find_slot(RequestId request);
-  std::deque<Slot> slots_;               // in the order of commands
-  std::size_t pending_requests_ = 0;     // pending slots
-  std::size_t queued_answer_bytes_ = 0;  // of answers that wait for an earlier one
+  std::deque<Slot> slots_;                       // in the order of commands
+  std::size_t pending_requests_ = 0;             // pending slots
+  std::size_t queued_answer_bytes_ = 0;          // of answers that wait for an earlier one
+  broker::MessageMemory::Charge answer_memory_;  // for the slots and their bytes
   /// Offsets into the received bytes, each with the time at which the bytes before it had been received: a
   /// command's deadline counts from the arrival of its last byte, not from its processing. At most
   /// max_arrivals entries; bytes beyond them count as received with the last entry.
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -16,6 +16,9 @@
 #include "wire/statement.h"
 
 namespace cedarring::wire {
+
+using broker::MessageMemory;
+
 namespace {
 
 constexpr std::size_t read_size = 16384;  // bytes per read
@@ -179,7 +182,7 @@
 /// can be and holds much input, until others have been answered. Only over 5/4 of the limit is the largest
 /// connection closed although it has pending work.
 bool Connection::ensure_memory() {
-  if (RingBuffer::total_capacity() <= RingBuffer::total_limit()) return true;
+  if (!MessageMemory::exceeded()) return true;
   Connection* largest_idle = nullptr;  // the largest one without pending work
   Connection* largest = nullptr;
   for (auto* connection = first_; connection; connection = connection->next_) {
@@ -197,12 +200,12 @@
     starved_ = true;
     return false;
   }
-  if (RingBuffer::total_capacity() > RingBuffer::total_limit() / 4 * 5) largest->close_for_memory();
+  if (MessageMemory::used() > MessageMemory::limit() / 4 * 5) largest->close_for_memory();
   return !closed();
 }
 
 void Connection::resume_after_memory_shortage() {
-  if (RingBuffer::total_capacity() > RingBuffer::total_limit()) return;
+  if (MessageMemory::exceeded()) return;
   for (auto* connection = first_; connection; connection = connection->next_)
     if (std::exchange(connection->starved_, false)) connection->update_events();
 }
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -47,7 +47,7 @@
 Fd accept_from(int listener);
 
 /// A stream connection driven by an event loop. All connections of the process share one memory limit
-/// (RingBuffer::total_limit); over it the connection that holds most memory is closed.
+/// (broker::MessageMemory); over it the connection that holds most memory is closed.
 class Connection {
  public:
   /// `connecting`: the connect of `fd` is still in progress. `max_input` and `max_output`: bytes that the
@@ -70,6 +70,8 @@
   /// Whether closing the connection would lose an answer that somebody waits for. When memory is short,
   /// connections without pending work are closed first.
   [[nodiscard]] virtual bool has_pending_work() const { return true; }
+  /// Bytes of messages that it keeps beside its buffers, counted by broker::MessageMemory.
+  [[nodiscard]] virtual std::size_t kept_bytes() const { return 0; }
   /// Whether reading may be paused for a while when memory is short.
   [[nodiscard]] virtual bool can_pause_reading() const { return false; }
   /// Whether input from the peer, including its close, is being read.
@@ -119,8 +121,8 @@
   void read_some();
   bool ensure_memory();
   void close_for_memory();
-  /// Bytes allocated for both buffers.
-  [[nodiscard]] std::size_t memory() const { return in_.capacity() + out_.capacity(); }
+  /// Bytes allocated for both buffers, and those that the subclass keeps.
+  [[nodiscard]] std::size_t memory() const { return in_.capacity() + out_.capacity() + kept_bytes(); }
   /// Sends as much of out_ as the socket takes.
   void flush();
   /// Watches the socket for the events that the connection can handle now.
--- a/src/wire/mysql_client.cpp
+++ b/src/wire/mysql_client.cpp
@@ -123,6 +123,7 @@
   if (logged_in_) {
     on_command_received();
     handle_command(payload);
+    prepared_memory_.set(statement_memory());
   } else {
     handle_handshake_response(payload);
   }
@@ -243,7 +244,8 @@
 void MysqlClient::handle_prepare(std::string_view sql) {
   if (leading_words(sql, 1)[0].empty()) return send_error(er_empty_query, "42000", "Query was empty");
   if (!check_supported(sql)) return;
-  if (statements_.size() >= max_statements || statement_memory() + sql.size() > max_statement_memory)
+  if (statements_.size() >= max_statements || statement_memory() + sql.size() > max_statement_memory ||
+      !broker::MessageMemory::available(sql.size()))
     return send_error(er_too_many_prepared_statements, "42000",
                       "Can't create more than max_prepared_stmt_count statements");
   const auto id = next_statement_id_++;
@@ -286,7 +288,8 @@
   const auto parameter = in.little_endian(2);
   if (!in.ok() || it == statements_.end()) return;
   auto& statement = it->second;
-  if (parameter >= statement.placeholders || statement_memory() + in.rest().size() > max_statement_memory) {
+  if (parameter >= statement.placeholders || statement_memory() + in.rest().size() > max_statement_memory ||
+      !broker::MessageMemory::available(in.rest().size())) {
     statement.long_data_rejected = true;
     return;
   }
@@ -334,7 +337,7 @@
   }
   if (const auto field = missing_field(request->info); !field.empty())
     return send_error(er_wrong_arguments, "HY000", "the statement lacks " + std::string(field));
-  switch (submit_request(request->info, request)) {
+  switch (submit_request(request->info, request, request->memory_size())) {
     case broker::Rejection::none:
       return;
     case broker::Rejection::unknown_class:
@@ -347,6 +350,8 @@
       return send_error(er_wrong_arguments, "HY000", "id of another open request");
     case broker::Rejection::too_many_requests:
       return send_error(er_too_many_connections, "08004", "Too many requests");
+    case broker::Rejection::out_of_memory:
+      return send_error(er_server_unavailable, "HY000", "Out of memory, nothing has run: try again later");
     case broker::Rejection::late:
       return send_error(er_server_unavailable, "HY000", "Its time ran out before its turn, nothing has run");
   }
--- a/src/wire/mysql_client.h
+++ b/src/wire/mysql_client.h
@@ -38,6 +38,9 @@
     void reset_long_data();
   };
   [[nodiscard]] bool nothing_received() const override { return !logged_in_ && in_.empty(); }
+  [[nodiscard]] std::size_t kept_bytes() const override {
+    return Client::kept_bytes() + prepared_memory_.bytes();
+  }
   bool process_command() override;
   void put_answer(broker::FinalAnswer answer, std::string& out) override;
   void handle_handshake_response(std::string_view payload);
@@ -67,6 +70,7 @@
   std::uint8_t sequence_ = 0;                      // of the next packet to write
   std::map<std::uint32_t, Statement> statements_;  // by the id that the client has been given
   std::uint32_t next_statement_id_ = 1;
+  broker::MessageMemory::Charge prepared_memory_;  // for statement_memory()
 };
 
 }  // namespace cedarring::wire
--- a/src/wire/mysql_host.cpp
+++ b/src/wire/mysql_host.cpp
@@ -131,6 +131,7 @@
   // A column definition or a row.
   std::uint8_t sequence = packet.sequence;
   put_packet(answer_, sequence, payload);
+  count_answer_memory(answer_.size());
   if (answer_.size() > mysql_max_message_size) return false;
   if (state_ == State::rows) return handle_row(payload);
   if (--definitions_left_ == 0) state_ = State::rows;
@@ -204,6 +205,7 @@
   }
   std::uint8_t sequence = packet.sequence;
   put_packet(answer_, sequence, payload);
+  count_answer_memory(answer_.size());
   if (is_ok(payload)) return finish_answer(payload);
   PacketReader in(payload);
   definitions_left_ = in.lenenc();
--- a/src/wire/mysql_request.h
+++ b/src/wire/mysql_request.h
@@ -21,6 +21,13 @@
   std::vector<mysql::Parameter> parameters;  // of the statement first, then the query attributes
   StatementInfo info;                        // views into sql and attribute_texts
   std::vector<std::string> attribute_texts;  // the values of the query attributes
+  /// Bytes of the statement and its parameters.
+  [[nodiscard]] std::size_t memory_size() const {
+    std::size_t bytes = sql.size();
+    for (const auto& parameter : parameters) bytes += sizeof parameter + parameter.value.size();
+    for (const auto& text : attribute_texts) bytes += text.size();
+    return bytes;
+  }
 };
 
 }  // namespace cedarring::wire
--- a/src/wire/pg_client.cpp
+++ b/src/wire/pg_client.cpp
@@ -146,7 +146,8 @@
   std::string missing;
   if (!parse_statement(request->sql, request->info, missing))
     return send_error(pg::sqlstate::protocol_violation, "the statement lacks " + missing);
-  switch (submit_request(request->info, request)) {
+  const auto unreserved_bytes = request->reservation.bytes() > 0 ? 0 : request->sql.size();
+  switch (submit_request(request->info, request, unreserved_bytes)) {
     case broker::Rejection::none:
       return;
     case broker::Rejection::unknown_class:
@@ -159,6 +160,9 @@
       return send_error(pg::sqlstate::protocol_violation, "id of another open request");
     case broker::Rejection::too_many_requests:
       return send_error(pg::sqlstate::too_many_connections, "too many requests");
+    case broker::Rejection::out_of_memory:
+      return send_error(pg::sqlstate::too_many_connections,
+                        "out of memory, nothing has run: try again later");
     case broker::Rejection::late:
       return send_error(pg::sqlstate::too_many_connections,
                         "its time ran out before its turn, nothing has run");
--- a/src/wire/pg_host.cpp
+++ b/src/wire/pg_host.cpp
@@ -82,6 +82,7 @@
 
 bool PgHost::stream_row() {
   std::string part = std::exchange(answer_, {});
+  count_answer_memory(0);
   const auto in = in_.view();
   const auto count = std::min(row_remaining_, in.size());
   part += in.substr(0, count);
@@ -153,6 +154,7 @@
       return false;
   }
   answer_ += message_bytes;
+  count_answer_memory(answer_.size());
   return answer_.size() <= pg_max_message_size;
 }
 
--- a/src/wire/ring_buffer.h
+++ b/src/wire/ring_buffer.h
@@ -10,14 +10,15 @@
 #include <memory>
 #include <string_view>
 
+#include "broker/message_memory.h"
+
 namespace cedarring::wire {
 
-/// Not thread-safe: the capacity of all buffers of the process is summed up in a static member.
+/// Not thread-safe: its capacity is counted by broker::MessageMemory.
 class RingBuffer {
  public:
   /// `max_size`: bytes that the buffer may hold at most.
   explicit RingBuffer(std::size_t max_size) : max_size_(max_size) {}
-  ~RingBuffer() { total_capacity_ -= capacity_; }
   RingBuffer(const RingBuffer&) = delete;
   RingBuffer& operator=(const RingBuffer&) = delete;
 
@@ -25,11 +26,6 @@
   [[nodiscard]] std::size_t capacity() const { return capacity_; }
   [[nodiscard]] std::size_t max_size() const { return max_size_; }
   [[nodiscard]] bool empty() const { return size_ == 0; }
-  /// Bytes allocated by all ring buffers of the process; the memory limit applies to this sum.
-  static std::size_t total_capacity() { return total_capacity_; }
-  /// The memory limit in bytes; connections do not read on beyond it.
-  static std::size_t total_limit() { return total_limit_; }
-  static void set_total_limit(std::size_t bytes) { total_limit_ = bytes; }
 
   /// Appends all of the bytes, or none and returns false if they exceed the maximum size.
   bool append(std::string_view bytes) {
@@ -104,14 +100,12 @@
         at += regions[i].iov_len;
       }
     }
-    total_capacity_ += capacity;
-    total_capacity_ -= capacity_;
+    charge_.set(capacity);
     data_ = std::move(data);
     capacity_ = capacity;
     head_ = 0;
   }
-  inline static std::size_t total_capacity_ = 0;
-  inline static std::size_t total_limit_ = std::size_t{96} << 20U;  // until set_total_limit() is called
+  broker::MessageMemory::Charge charge_;  // for the capacity
   std::unique_ptr<char[]> data_;
   std::size_t max_size_;
   std::size_t capacity_ = 0;
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -98,6 +98,7 @@
 
 void HostConnection::finish(AttemptResult result, bool keep) {
   timer_.stop();
+  answer_memory_.set(0);
   const auto job = std::exchange(job_, std::nullopt);
   keep = keep && submitted_ && !retired_ && !given_up_ && in_.empty() && out_.empty();
   if (!keep && !closed()) close();
--- a/src/wire/upstream.h
+++ b/src/wire/upstream.h
@@ -82,6 +82,10 @@
   /// Milliseconds until the job is given up, at least 1.
   [[nodiscard]] std::int64_t remaining_ms() const;
 
+  /// To be called with the bytes of the job's answer that have been kept beside the buffers.
+  void count_answer_memory(std::size_t bytes) { answer_memory_.set(bytes); }
+  [[nodiscard]] std::size_t kept_bytes() const final { return answer_memory_.bytes(); }
+
   std::optional<Job> job_;
   bool handshake_done_ = false;
   bool submitted_ = false;  // the last part of the request has been passed to write()
@@ -116,6 +120,7 @@
   bool sent_reported_ = false;  // the broker knows that the request has been sent completely
   SocketUpstream& owner_;
   HostId host_;
+  broker::MessageMemory::Charge answer_memory_;
   Time connect_by_{};  // of the job that began with the connect
   ev::timer timer_;
 };
--- a/tests/connection_test.cpp
+++ b/tests/connection_test.cpp
@@ -28,22 +28,22 @@
   int small_ends[2];
   ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, large_ends), 0);
   ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, small_ends), 0);
-  const auto original_limit = wire::RingBuffer::total_limit();
+  const auto original_limit = broker::MessageMemory::limit();
   {
     TestConnection large(loop, large_ends[0]);
     TestConnection small(loop, small_ends[0]);
     const std::string payload(60000, 'x');
     ASSERT_EQ(::write(large_ends[1], payload.data(), payload.size()), 60000);
     while (large.received < payload.size()) loop.run(EVRUN_ONCE);
-    wire::RingBuffer::set_total_limit(40000);  // bytes: less than the large connection holds
+    broker::MessageMemory::set_limit(40000);  // bytes: less than the large connection holds
     ASSERT_EQ(::write(small_ends[1], "request", 7), 7);
     while (small.received == 0 && small.error < 0) loop.run(EVRUN_ONCE);
     EXPECT_EQ(small.received, 7U);
     EXPECT_FALSE(small.closed());
     EXPECT_EQ(large.error, ENOMEM);
   }
-  EXPECT_EQ(wire::RingBuffer::total_capacity(), 0U);
-  wire::RingBuffer::set_total_limit(original_limit);
+  EXPECT_EQ(broker::MessageMemory::used(), 0U);
+  broker::MessageMemory::set_limit(original_limit);
   ::close(large_ends[1]);
   ::close(small_ends[1]);
 }
--- a/tests/support/stand_in.cpp
+++ b/tests/support/stand_in.cpp
@@ -665,7 +665,6 @@
   posix_spawn_file_actions_adddup2(&files, ends[1], 2);
   posix_spawn_file_actions_addclose(&files, ends[0]);
   posix_spawn_file_actions_addclose(&files, ends[1]);
-  std::string program = CEDARRING_GATEWAY;
   char* args[] = {program.data(), nullptr};
   const int failed = posix_spawn(&pid_, program.c_str(), &files, nullptr, args, environment.data());
   posix_spawn_file_actions_destroy(&files);
--- a/tests/support/stand_in.h
+++ b/tests/support/stand_in.h
@@ -247,6 +247,8 @@
   /// Starts a second process of the same gateway, in the directory of `before`; `listen` is the address of
   /// the PostgreSQL listener if the process announces none.
   explicit GatewayProcess(const GatewayProcess& before, const std::string& listen);
+  /// Path of the program that is started.
+  inline static std::string program = CEDARRING_GATEWAY;
   /// Tells the constructor not to wait for the listeners: wait_listeners() has to be called.
   struct StartInBackground {};
   GatewayProcess(const GatewayProcess& before, StartInBackground);
