--- a/tests/busy_client_test.cpp
+++ b/tests/busy_client_test.cpp
@@ -43,8 +43,8 @@
   std::thread reader_;
 };
 
-// Guards against answers that come long after their time because one event of a flooding client takes too long:
-// all its commands were processed, and each was answered with a write of its own.
+// Guards against answers that come long after their time because one event of a flooding client takes too
+// long: all its commands were processed, and each was answered with a write of its own.
 TEST(BusyClient, OthersAreAnsweredInTimeWhileClientsSendAtFullSpeed) {
   constexpr int flooding_clients = 48;
   constexpr int requests = 20;
