Tests: a long statement that waits for memory is answered after its time, a known failure

A statement that lies whole in the socket is read only once memory for it is free, and its time counts from then.

--- a/tests/long_values_test.cpp
+++ b/tests/long_values_test.cpp
@@ -447,6 +447,21 @@
   PgClient client_;
 };
 
+// Guards against a final answer that comes after its time because the statement, whole in the socket, waits
+// for memory that others hold.
+TEST_F(LongStatements, StatementThatWaitsForMemoryIsAnsweredInItsTime) {
+  constexpr std::size_t value_bytes = 300'000;
+  constexpr auto deadline = 1000ms;
+  constexpr auto lost_after = deadline + 500ms;
+  service_.primary.behavior = Behavior::serve;
+  MemoryHolder holder(service_);
+  PgClient client(service_.program->pg());
+  const auto start = Clock::now();
+  client.socket.send(pg_query(replaced(long_statement("waits", value_bytes), "d=9000", "d=1000")));
+  EXPECT_FALSE(client.read_answer().types.empty());
+  EXPECT_LT(Clock::now() - start, lost_after);
+}
+
 // Guards against a statement that is sent to a host although its client left while the statement waited for
 // memory: the close may lie behind more bytes than the socket takes, or be in sight while nothing is read.
 TEST_F(LongStatements, StatementOfAClientThatLeavesWhileItWaitsForMemoryIsNotSent) {
